Serve the users' platform: direct server return with flow tokens, load from callers' packets

Cause: the product speaks its own packets and tickets; on the platform the servers answer callers themselves, registrations lie in a store that can only be read, and an entry sees callers' packets alone.

Left: tests, shared load, links for the catalog.

--- /dev/null
+++ b/core/process/agatesteer/note.go
@@ -0,0 +1,146 @@
+package agatesteer
+
+import (
+	"time"
+
+	"agatereach/core/connection/agatetrack"
+	"agatereach/core/request/agatetuple"
+	"agatereach/core/version/agatevip"
+)
+
+// note takes what a segment tells into the counts of its flow's server.
+func (s *Steerer) note(f *flow, event agatetrack.Event, now time.Duration) {
+	on := f.Owner.server
+	if on == nil {
+		return
+	}
+	if event.Answered {
+		on.silence.Heard(now)
+	}
+	if event.Repeated {
+		s.miss(f, event, now)
+	}
+	s.count(f)
+	u := f.Owner.usage
+	if u == nil {
+		return
+	}
+	if event.Opened {
+		u.flows++
+	}
+	if event.Requested {
+		u.requests++
+	}
+}
+
+// miss notes a segment that was sent again. A SYN that went to several servers
+// speaks against the last one only.
+func (s *Steerer) miss(f *flow, event agatetrack.Event, now time.Duration) {
+	f.Owner.server.silence.Missed(f.Tuple.Hash(), event.Since, now)
+}
+
+// assign gives a flow to a server, or to none.
+func (s *Steerer) assign(f *flow, to *server) {
+	s.uncount(f)
+	f.Owner.server = to
+	s.count(f)
+}
+
+// count brings the counts of a flow's server up to date with the flow.
+func (s *Steerer) count(f *flow) {
+	on := f.Owner.server
+	if on == nil {
+		return
+	}
+	if f.Owner.counted != f.Phase {
+		s.leave(f)
+		s.enterPhase(f)
+	}
+	_, counted := on.waiting[f]
+	waits := f.Waiting && f.Phase == agatetrack.Open
+	if waits == counted {
+		return
+	}
+	if waits {
+		on.waiting[f] = struct{}{}
+	} else {
+		delete(on.waiting, f)
+	}
+	s.countUsage(f, 0, delta(waits))
+}
+
+// delta returns 1 or -1.
+func delta(more bool) int {
+	if more {
+		return 1
+	}
+	return -1
+}
+
+// countUsage changes the counts of the flow's virtual address.
+func (s *Steerer) countUsage(f *flow, open, waiting int) {
+	if u := f.Owner.usage; u != nil {
+		u.open += open
+		u.waiting += waiting
+	}
+}
+
+// enterPhase counts a flow in its phase.
+func (s *Steerer) enterPhase(f *flow) {
+	f.Owner.counted = f.Phase
+	switch f.Phase {
+	case agatetrack.Opening:
+		f.Owner.server.opening[f] = struct{}{}
+	case agatetrack.Open:
+		f.Owner.server.open++
+		s.countUsage(f, 1, 0)
+	}
+}
+
+// leave takes a flow out of the phase that it is counted in.
+func (s *Steerer) leave(f *flow) {
+	switch f.Owner.counted {
+	case agatetrack.Opening:
+		delete(f.Owner.server.opening, f)
+	case agatetrack.Open:
+		f.Owner.server.open--
+		s.countUsage(f, -1, 0)
+	}
+	f.Owner.counted = ""
+}
+
+// uncount takes a flow out of all counts.
+func (s *Steerer) uncount(f *flow) {
+	on := f.Owner.server
+	if on == nil {
+		return
+	}
+	if _, counted := on.waiting[f]; counted {
+		delete(on.waiting, f)
+		s.countUsage(f, 0, -1)
+	}
+	s.leave(f)
+}
+
+// release takes a flow that is no longer followed out of all counts.
+func (s *Steerer) release(f *flow) { s.uncount(f) }
+
+// usage returns what was learnt of the virtual address of a flow, nil if the
+// configuration does not name it.
+func (s *Steerer) usage(flow agatetuple.Tuple) *usage {
+	vip, ok := s.catalog.VIP(flow.Service())
+	if !ok {
+		return nil
+	}
+	return s.usageOf(vip)
+}
+
+// usageOf returns what was learnt of a virtual address.
+func (s *Steerer) usageOf(vip agatevip.VIP) *usage {
+	known, ok := s.usages[vip.Name]
+	if !ok {
+		known = &usage{}
+		s.usages[vip.Name] = known
+	}
+	return known
+}
--- /dev/null
+++ b/core/process/agatesteer/policy.go
@@ -0,0 +1,55 @@
+package agatesteer
+
+import (
+	"time"
+
+	"agatereach/core/process/agatepick"
+	"agatereach/core/process/agatesilence"
+)
+
+// Policy holds the limits and weights of a steerer.
+type Policy struct {
+	// Flows is the number of flows that are followed at most.
+	Flows int
+	// Window is the number of bytes that a caller may send ahead of the
+	// server's acknowledgements.
+	Window uint32
+	// Idle is how long a flow is followed after its last segment, unless the
+	// configuration says otherwise.
+	Idle time.Duration
+	// Handshake is how long a handshake may take before it counts as failed.
+	Handshake time.Duration
+	// Request is how long a request counts as under way where its virtual
+	// address states no time.
+	Request time.Duration
+	// Cold is the share of its slots, from 0 to 1, that a server which has just
+	// started counts for.
+	Cold float64
+	// Fresh is how old the view of the configuration may be for a flow without
+	// a virtual address to be refused. With an older view it gets no answer.
+	Fresh time.Duration
+	// Pick holds the weights of the choice of a server.
+	Pick agatepick.Policy
+	// Silence holds the thresholds for silent servers.
+	Silence agatesilence.Policy
+}
+
+// DefaultPolicy returns the policy of deployments that state nothing else.
+func DefaultPolicy() Policy {
+	return Policy{
+		Flows:     1 << 16,
+		Window:    16 * 1200,
+		Idle:      15 * time.Second,
+		Handshake: 1500 * time.Millisecond,
+		Request:   10 * time.Second,
+		Cold:      0.6,
+		Fresh:     2 * time.Second,
+		Pick:      agatepick.Policy{Distance: 0.35, MaxSilent: 0.5},
+		Silence: agatesilence.Policy{
+			Suspect:  2,
+			Confirm:  3,
+			Patience: 350 * time.Millisecond,
+			Retry:    time.Second,
+		},
+	}
+}
--- /dev/null
+++ b/core/process/agatesteer/steer.go
@@ -0,0 +1,274 @@
+// Package agatesteer decides where a caller's segments go when the backend
+// servers answer the callers themselves: new flows by load, others by the token
+// that they carry. It sees only what callers send, owns all that an entry
+// infers from it, and does no I/O.
+package agatesteer
+
+import (
+	"time"
+
+	"agatereach/core/connection/agatetrack"
+	"agatereach/core/process/agatepick"
+	"agatereach/core/request/agatesegment"
+	"agatereach/core/request/agatetuple"
+	"agatereach/core/version/agatecatalog"
+	"agatereach/core/version/agateinstance"
+	"agatereach/core/version/agatevip"
+)
+
+// Steerer decides for one entry. It is used by one goroutine. All times are
+// on one monotonic clock that starts above 0.
+type Steerer struct {
+	policy Policy
+	// centre names the entry's data centre.
+	centre string
+	random func() float64
+	// catalog is the newest one, and confirmed when it was last known to be
+	// the newest of all.
+	catalog   *agatecatalog.Catalog
+	confirmed time.Duration
+	// flows are the flows seen lately.
+	flows *agatetrack.Table[owner]
+	// servers are all incarnations of the catalog.
+	servers map[agateinstance.Key]*server
+	// services are the servers by service that take new flows.
+	services map[string][]*server
+	// usages are what was learnt of virtual addresses, by name.
+	usages map[string]*usage
+	// candidates and offered are reused from choice to choice.
+	candidates []agatepick.Candidate
+	offered    []*server
+}
+
+// New returns a steerer of an entry in the named data centre. random returns
+// numbers in [0, 1).
+func New(policy Policy, centre string, random func() float64) *Steerer {
+	s := &Steerer{
+		policy:   policy,
+		centre:   centre,
+		random:   random,
+		catalog:  &agatecatalog.Catalog{},
+		servers:  make(map[agateinstance.Key]*server),
+		services: make(map[string][]*server),
+		usages:   make(map[string]*usage),
+	}
+	s.flows = agatetrack.New(policy.Flows, policy.Window, s.release)
+	return s
+}
+
+// Flows returns the number of flows that are followed.
+func (s *Steerer) Flows() int { return s.flows.Len() }
+
+// Update takes over a newer catalog.
+func (s *Steerer) Update(catalog *agatecatalog.Catalog, now time.Duration) {
+	if catalog == s.catalog {
+		return
+	}
+	s.catalog = catalog
+	held := make(map[agateinstance.Key]bool)
+	clear(s.services)
+	for _, instance := range catalog.Instances() {
+		held[instance.Key] = true
+		s.enter(instance, now)
+	}
+	for key, each := range s.servers {
+		if !held[key] {
+			s.forget(key, each)
+		}
+	}
+}
+
+// Confirm notes that the catalog was the newest at the given time.
+func (s *Steerer) Confirm(at time.Duration) { s.confirmed = max(s.confirmed, at) }
+
+// enter takes over the record of an incarnation.
+func (s *Steerer) enter(instance agateinstance.Instance, now time.Duration) {
+	known, ok := s.servers[instance.Key]
+	if !ok {
+		known = &server{opening: make(map[*flow]struct{}), waiting: make(map[*flow]struct{})}
+		s.servers[instance.Key] = known
+	}
+	if instance.Revision != known.instance.Revision {
+		known.warm = now + instance.Cold
+	}
+	known.instance = instance
+	known.token, _ = s.catalog.Token(instance.Key)
+	if instance.State == agateinstance.Ready && known.token != 0 {
+		s.services[instance.Service] = append(s.services[instance.Service], known)
+	}
+}
+
+// forget drops a server that the catalog no longer holds.
+func (s *Steerer) forget(key agateinstance.Key, gone *server) {
+	delete(s.servers, key)
+	s.flows.Each(func(f *flow) {
+		if f.Owner.server == gone {
+			s.assign(f, nil)
+		}
+	})
+}
+
+// Handle decides on a segment.
+func (s *Steerer) Handle(segment agatesegment.Segment, now time.Duration) Verdict {
+	v := s.decide(segment, now)
+	v.Flow = segment.Flow
+	return v
+}
+
+func (s *Steerer) decide(segment agatesegment.Segment, now time.Duration) Verdict {
+	switch {
+	case segment.Opens():
+		return s.open(segment, now)
+	case segment.Token == 0:
+		return Verdict{Action: Drop, Reason: Stray}
+	}
+	instance, found := s.find(segment)
+	switch found {
+	case agatecatalog.Unknown:
+		return Verdict{Action: Drop, Reason: Foreign}
+	case agatecatalog.Ambiguous:
+		return Verdict{Action: Drop, Reason: Collision}
+	}
+	return s.continued(segment, instance, now)
+}
+
+// find returns the incarnation that a segment's token names. Where two share
+// the token, a flow that is followed tells them apart.
+func (s *Steerer) find(segment agatesegment.Segment) (agateinstance.Instance, agatecatalog.Lookup) {
+	instance, found := s.catalog.Find(segment.Token)
+	if found != agatecatalog.Ambiguous {
+		return instance, found
+	}
+	f := s.flows.Find(segment.Flow)
+	if f == nil || f.Owner.server == nil || !f.Owner.server.instance.Has(segment.Token) {
+		return instance, found
+	}
+	return f.Owner.server.instance, agatecatalog.Found
+}
+
+// continued decides on a segment of a flow that has its server.
+func (s *Steerer) continued(segment agatesegment.Segment, instance agateinstance.Instance, now time.Duration) Verdict {
+	known := s.servers[instance.Key]
+	f, event, _ := s.flows.Observe(segment, now)
+	f.Owner.acknowledged = segment.Acknowledged
+	if f.Owner.usage == nil {
+		f.Owner.usage = s.usage(segment.Flow)
+	}
+	if f.Owner.server != known {
+		s.assign(f, known)
+	}
+	s.note(f, event, now)
+	if instance.State == agateinstance.Gone && s.lost(known, event) {
+		return s.reset(f, Ended)
+	}
+	return s.forward(known, segment.Token, Held)
+}
+
+// lost reports whether a server that is no longer registered is dead for sure:
+// it has been started anew, another has its address, or it does not answer.
+func (s *Steerer) lost(gone *server, event agatetrack.Event) bool {
+	return event.Repeated && event.Since > gone.silence.LastHeard() || s.catalog.Replaced(gone.instance)
+}
+
+// reset ends a flow towards its caller.
+func (s *Steerer) reset(f *flow, reason Reason) Verdict {
+	v := Verdict{Action: Reset, Reason: reason, Flow: f.Tuple, Sequence: f.Owner.acknowledged}
+	s.flows.Remove(f)
+	return v
+}
+
+// forward passes a segment on to a server.
+func (s *Steerer) forward(to *server, token uint32, reason Reason) Verdict {
+	return Verdict{
+		Action: Forward, Reason: reason,
+		Server: to.instance.ID, Address: to.instance.Address, Token: token,
+	}
+}
+
+// open decides on a SYN.
+func (s *Steerer) open(segment agatesegment.Segment, now time.Duration) Verdict {
+	vip, ok := s.catalog.VIP(segment.Flow.Service())
+	if !ok {
+		return s.refuse(segment, NoRoute, now)
+	}
+	f, event, _ := s.flows.Observe(segment, now)
+	f.Owner.usage = s.usageOf(vip)
+	reason := Placed
+	if event.Repeated {
+		reason = Moved
+		s.note(f, event, now)
+	}
+	chosen := s.choose(f, s.service(vip, segment.Flow), now)
+	if chosen == nil {
+		s.flows.Remove(f)
+		return s.refuse(segment, NoServer, now)
+	}
+	s.assign(f, chosen)
+	if f.Owner.triedCount < len(f.Owner.tried) && !f.Owner.hasTried(chosen) {
+		f.Owner.tried[f.Owner.triedCount] = chosen
+		f.Owner.triedCount++
+	}
+	return s.forward(chosen, chosen.token, reason)
+}
+
+// refuse answers a SYN that has no server: at once if the view is fresh, since
+// its copies would not fare better.
+func (s *Steerer) refuse(segment agatesegment.Segment, reason Reason, now time.Duration) Verdict {
+	if s.confirmed == 0 || now-s.confirmed > s.policy.Fresh {
+		return Verdict{Action: Drop, Reason: OldView}
+	}
+	return Verdict{Action: Reset, Reason: reason, Sequence: segment.Acknowledged}
+}
+
+// service returns the service that a flow to the virtual address goes to. The
+// copies of a SYN go to the same.
+func (s *Steerer) service(vip agatevip.VIP, flow agatetuple.Tuple) string {
+	const fractionBits = 53
+	return vip.Service(float64(flow.Hash()>>(64-fractionBits)) / (1 << fractionBits))
+}
+
+// choose returns the server for a new flow, nil if there is none.
+func (s *Steerer) choose(f *flow, service string, now time.Duration) *server {
+	s.candidates = s.candidates[:0]
+	s.offered = s.offered[:0]
+	long := f.Owner.usage.long()
+	for _, each := range s.services[service] {
+		s.offered = append(s.offered, each)
+		s.candidates = append(s.candidates, agatepick.Candidate{
+			Load:     s.load(each, f.Owner.usage, long),
+			Capacity: each.capacity(&s.policy, now),
+			Remote:   each.instance.Centre != s.centre,
+			Silent:   each.silence.Suspected(s.policy.Silence) && !each.silence.Due(s.policy.Silence, now),
+			Tried:    f.Owner.hasTried(each),
+		})
+	}
+	place := s.policy.Pick.Pick(s.candidates, s.random)
+	if place < 0 {
+		return nil
+	}
+	chosen := s.offered[place]
+	if chosen.silence.Suspected(s.policy.Silence) {
+		chosen.silence.Tried(now)
+	}
+	return chosen
+}
+
+// load returns the number of requests that a server is expected to have under
+// way: at the moment for a short flow, on average for a long one.
+func (s *Steerer) load(each *server, u *usage, long bool) float64 {
+	waiting := float64(len(each.waiting)+len(each.opening)) + each.reported.waiting
+	open := float64(each.open) + each.reported.open
+	if long {
+		return momentWeight*waiting + open*max(u.busy, minBusy)
+	}
+	return waiting + max(open-waiting, 0)*u.busy
+}
+
+const (
+	// momentWeight is what the load of the moment counts for when a long flow
+	// is placed: it is over long before the flow is.
+	momentWeight = 0.3
+	// minBusy is the least load that an open flow stands for, so that open
+	// flows are spread evenly also while they are quiet.
+	minBusy = 0.05
+)
--- /dev/null
+++ b/core/process/agatesteer/verdict.go
@@ -0,0 +1,67 @@
+package agatesteer
+
+import (
+	"net/netip"
+
+	"agatereach/core/request/agatetuple"
+)
+
+// Action is what is done with a segment.
+type Action string
+
+// The actions.
+const (
+	// Forward passes the segment on to a server.
+	Forward Action = "forward"
+	// Reset ends the flow towards the caller.
+	Reset Action = "reset"
+	// Drop does nothing.
+	Drop Action = "drop"
+)
+
+// Reason says why.
+type Reason string
+
+// The reasons of verdicts.
+const (
+	// Placed is a new flow that was given to a server.
+	Placed Reason = "placed"
+	// Moved is a repeated SYN that was given to another server.
+	Moved Reason = "moved"
+	// Held is a segment of a flow that has its server.
+	Held Reason = "held"
+	// NoRoute is a new flow to an address that no configuration names.
+	NoRoute Reason = "noroute"
+	// NoServer is a new flow to a service without any server.
+	NoServer Reason = "noserver"
+	// OldView is a new flow that could be refused only by a view that may be
+	// old.
+	OldView Reason = "oldview"
+	// Foreign is a segment whose token names no known server.
+	Foreign Reason = "foreign"
+	// Collision is a segment whose token names more than one server.
+	Collision Reason = "collision"
+	// Ended is a flow whose server is gone.
+	Ended Reason = "ended"
+	// Silent is a flow whose server answers nothing.
+	Silent Reason = "silent"
+	// Stray is a segment that belongs to no flow.
+	Stray Reason = "stray"
+)
+
+// Verdict is what is done with a segment.
+type Verdict struct {
+	// Action says what is done.
+	Action Action
+	// Reason says why.
+	Reason Reason
+	// Flow identifies the flow.
+	Flow agatetuple.Tuple
+	// Server is the id and Address the address of the server of a Forward.
+	Server  uint64
+	Address netip.AddrPort
+	// Token is the token that the forwarded segment carries.
+	Token uint32
+	// Sequence is the number that a Reset carries: what the caller expects.
+	Sequence uint32
+}
--- /dev/null
+++ b/core/version/agatecatalog/catalog.go
@@ -0,0 +1,194 @@
+// Package agatecatalog holds the configuration and the registered backend
+// servers as an immutable value: monotone by version and by revision, whatever
+// order the sources deliver in.
+package agatecatalog
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+
+	"agatereach/core/version/agateinstance"
+	"agatereach/core/version/agatevip"
+)
+
+// Lookup says what a flow token names.
+type Lookup string
+
+// What a flow token may name.
+const (
+	// Found is one known incarnation.
+	Found Lookup = "found"
+	// Unknown is no incarnation that is held.
+	Unknown Lookup = "unknown"
+	// Ambiguous is more than one, so that none may be chosen.
+	Ambiguous Lookup = "ambiguous"
+)
+
+// Catalog is the configuration and the backend servers. The zero value is
+// empty. It is never changed, so that any goroutine may read it.
+type Catalog struct {
+	// config is the newest configuration; nil before the first one.
+	config *Config
+	// vips are the virtual addresses of config by address.
+	vips map[netip.AddrPort]agatevip.VIP
+	// instances are all incarnations that are held, also those that are gone.
+	instances map[agateinstance.Key]agateinstance.Instance
+	// newest is the key of the newest incarnation of each id.
+	newest map[uint64]agateinstance.Key
+	// tokens are the incarnations that a token may stand for; more than one
+	// is a collision.
+	tokens map[uint32][]agateinstance.Key
+	// holders are the incarnations in service by address.
+	holders map[netip.AddrPort]agateinstance.Key
+	// revision is the highest revision of the store that is contained whole.
+	revision int64
+}
+
+// Version returns the version of the configuration, 0 before the first one.
+func (c *Catalog) Version() int64 {
+	if c.config == nil {
+		return 0
+	}
+	return c.config.Version
+}
+
+// Revision returns the revision of the store up to which nothing is missing.
+func (c *Catalog) Revision() int64 { return c.revision }
+
+// Config returns the configuration, nil before the first one.
+func (c *Catalog) Config() *Config { return c.config }
+
+// VIP returns the virtual address that a flow was sent to.
+func (c *Catalog) VIP(address netip.AddrPort) (agatevip.VIP, bool) {
+	vip, ok := c.vips[address]
+	return vip, ok
+}
+
+// Instance returns an incarnation.
+func (c *Catalog) Instance(key agateinstance.Key) (agateinstance.Instance, bool) {
+	instance, ok := c.instances[key]
+	return instance, ok
+}
+
+// Newest returns the newest incarnation of a server's id.
+func (c *Catalog) Newest(id uint64) (agateinstance.Instance, bool) {
+	key, ok := c.newest[id]
+	if !ok {
+		return agateinstance.Instance{}, false
+	}
+	return c.Instance(key)
+}
+
+// Replaced reports whether the incarnation is known to have ended: its server
+// has started anew, or another server has its address.
+func (c *Catalog) Replaced(instance agateinstance.Instance) bool {
+	latest, held := c.newest[instance.ID]
+	holder, taken := c.holders[instance.Address]
+	return held && latest.Born > instance.Born || taken && holder != instance.Key
+}
+
+// Instances returns all incarnations that are held, in the order of their ids
+// and starts.
+func (c *Catalog) Instances() []agateinstance.Instance {
+	return slices.SortedFunc(maps.Values(c.instances), func(a, b agateinstance.Instance) int {
+		if a.ID != b.ID {
+			if a.ID < b.ID {
+				return -1
+			}
+			return 1
+		}
+		return int(min(max(a.Born-b.Born, -1), 1))
+	})
+}
+
+// Token returns the token for new flows of an incarnation: the first of its
+// tokens that no other incarnation has. Without one it returns false, and the
+// incarnation can take no flow.
+func (c *Catalog) Token(key agateinstance.Key) (uint32, bool) {
+	for salt := range uint32(agateinstance.TokenSalts) {
+		token := key.Token(salt)
+		if len(c.tokens[token]) == 1 {
+			return token, true
+		}
+	}
+	return 0, false
+}
+
+// Find returns the incarnation that a token names.
+func (c *Catalog) Find(token uint32) (agateinstance.Instance, Lookup) {
+	keys := c.tokens[token]
+	switch len(keys) {
+	case 0:
+		return agateinstance.Instance{}, Unknown
+	case 1:
+		return c.instances[keys[0]], Found
+	default:
+		return agateinstance.Instance{}, Ambiguous
+	}
+}
+
+// WithConfig returns the catalog with the configuration if it is newer than
+// the one held, and reports whether it was.
+func (c *Catalog) WithConfig(config *Config) (*Catalog, bool) {
+	if config == nil || config.Version <= c.Version() {
+		return c, false
+	}
+	next := *c
+	next.config = config
+	next.vips = config.index()
+	return &next, true
+}
+
+// WithRevision returns the catalog as whole up to the revision.
+func (c *Catalog) WithRevision(revision int64) *Catalog {
+	if revision <= c.revision {
+		return c
+	}
+	next := *c
+	next.revision = revision
+	return &next
+}
+
+// WithInstances returns the catalog with the records that are newer than those
+// held, and reports whether there was one. An older incarnation of an id is
+// gone as soon as a newer one is known.
+func (c *Catalog) WithInstances(records []agateinstance.Instance) (*Catalog, bool) {
+	var d draft
+	for _, record := range records {
+		if c.supersedes(&d, record) {
+			d.open(c)
+			d.put(record)
+		}
+	}
+	if !d.opened {
+		return c, false
+	}
+	return d.close(c), true
+}
+
+// supersedes reports whether the record says something new.
+func (c *Catalog) supersedes(d *draft, record agateinstance.Instance) bool {
+	instances := c.instances
+	if d.opened {
+		instances = d.instances
+	}
+	held, ok := instances[record.Key]
+	return !ok || record.Revision > held.Revision
+}
+
+// Without returns the catalog without the records of incarnations that are gone
+// and for which forget reports true.
+func (c *Catalog) Without(forget func(agateinstance.Instance) bool) *Catalog {
+	var d draft
+	for key, instance := range c.instances {
+		if instance.State == agateinstance.Gone && forget(instance) {
+			d.open(c)
+			d.remove(key)
+		}
+	}
+	if !d.opened {
+		return c
+	}
+	return d.close(c)
+}
--- /dev/null
+++ b/entry/process/agateforwarder/forwarder.go
@@ -0,0 +1,221 @@
+// Package agateforwarder provides the goroutine that owns the steerer of an
+// entry: it takes callers' packets, and sends what the steerer decides.
+package agateforwarder
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"agatereach/core/connection/agatesocket"
+	"agatereach/core/process/agatering"
+	"agatereach/core/process/agatesteer"
+	"agatereach/core/request/agatesegment"
+	"agatereach/core/request/agatetuple"
+	"agatereach/core/version/agatecatalog"
+)
+
+const (
+	// tick is the time between two looks at what falls due. A silent server
+	// shows after 200 ms, the time after which callers repeat themselves.
+	tick = 100 * time.Millisecond
+	// queue is the number of packets that wait for the goroutine.
+	queue = 512
+	// batch is the number of packets sent by one system call.
+	batch = 16
+	// prefixSize is the room for what a codec puts in front of a packet.
+	prefixSize = 16
+	// maxPacket is the size of the longest packet that is passed on, in bytes.
+	maxPacket = 2048
+)
+
+// Codec reads and writes packets in the format of the network.
+type Codec interface {
+	// Decode reads the head of a caller's packet.
+	Decode(packet []byte) (agatesegment.Segment, error)
+	// Mark writes the flow token into the packet.
+	Mark(packet []byte, token uint32)
+	// AppendPrefix appends what goes in front of a packet to the server.
+	AppendPrefix(prefix []byte, server uint64) []byte
+	// Reset returns a packet that ends the flow towards its caller.
+	Reset(flow agatetuple.Tuple, sequence uint32) []byte
+	// Caller returns where packets for the caller of a flow are sent.
+	Caller(flow agatetuple.Tuple) netip.AddrPort
+}
+
+// Update is a newer catalog, or the news that it is still the newest.
+type Update struct {
+	// Catalog is the newest catalog.
+	Catalog *agatecatalog.Catalog
+	// Confirmed is when it was known to be the newest of all.
+	Confirmed time.Time
+}
+
+// packet is the memory of one datagram.
+type packet struct {
+	size  int
+	bytes [maxPacket]byte
+}
+
+// Forwarder owns a steerer. It implements the handler of a receiver.
+type Forwarder struct {
+	steerer *agatesteer.Steerer
+	codec   Codec
+	outbox  *agatesocket.Outbox
+	// arrived holds the packets to handle, and free the memory for others.
+	arrived, free *agatering.Ring[*packet]
+	updates       *agatering.Ring[Update]
+	// started is the start of the steerer's clock.
+	started time.Time
+	// pending are the packets whose memory is in use until the next flush.
+	pending []*packet
+	// last is when a caller's packet last came.
+	last atomic.Int64
+	log  *slog.Logger
+	counts
+}
+
+// counts are what the forwarder has done since the last summary.
+type counts struct {
+	verdicts  map[agatesteer.Reason]uint64
+	malformed uint64
+}
+
+// New returns a forwarder that sends through the socket.
+func New(policy agatesteer.Policy, centre string, codec Codec, socket *agatesocket.Socket, log *slog.Logger) *Forwarder {
+	f := &Forwarder{
+		steerer: agatesteer.New(policy, centre, rand.Float64),
+		codec:   codec,
+		outbox:  agatesocket.NewOutbox(socket, batch, prefixSize),
+		arrived: agatering.New[*packet](queue),
+		free:    agatering.New[*packet](queue),
+		updates: agatering.New[Update](1),
+		// The clock starts above 0, which means never.
+		started: time.Now().Add(-time.Second),
+		log:     log,
+		counts:  counts{verdicts: make(map[agatesteer.Reason]uint64)},
+	}
+	return f
+}
+
+// Updates returns the ring for newer catalogs.
+func (f *Forwarder) Updates() *agatering.Ring[Update] { return f.updates }
+
+// Idle returns the time since a caller's packet last came.
+func (f *Forwarder) Idle() time.Duration {
+	return time.Since(f.started) - time.Duration(f.last.Load())
+}
+
+// Handle takes a caller's packet. A full ring drops it, as a full socket would.
+func (f *Forwarder) Handle(_ time.Time, _ netip.AddrPort, datagram []byte) {
+	if len(datagram) > maxPacket {
+		return
+	}
+	p := f.memory()
+	p.size = copy(p.bytes[:], datagram)
+	f.arrived.Put(p)
+}
+
+// memory returns memory that is not in use.
+func (f *Forwarder) memory() *packet {
+	select {
+	case p := <-f.free.Items():
+		return p
+	default:
+		return new(packet)
+	}
+}
+
+// Flush ends a batch of packets.
+func (f *Forwarder) Flush() {}
+
+// Run handles packets until the context ends.
+func (f *Forwarder) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case p := <-f.arrived.Items():
+			f.packets(p)
+		case u := <-f.updates.Items():
+			f.update(u)
+		case <-ticker.C:
+			f.tick()
+		}
+	}
+}
+
+// now returns the time of the steerer's clock.
+func (f *Forwarder) now() time.Duration { return time.Since(f.started) }
+
+// packets handles a packet and those that wait behind it.
+func (f *Forwarder) packets(p *packet) {
+	now := f.now()
+	f.last.Store(int64(now))
+	for {
+		f.handle(p, now)
+		if len(f.pending) == batch {
+			break
+		}
+		select {
+		case p = <-f.arrived.Items():
+			continue
+		default:
+		}
+		break
+	}
+	f.flush()
+}
+
+// flush sends what waits and frees its memory.
+func (f *Forwarder) flush() {
+	f.outbox.Flush()
+	for _, p := range f.pending {
+		f.free.Put(p)
+	}
+	f.pending = f.pending[:0]
+}
+
+// handle decides on one packet.
+func (f *Forwarder) handle(p *packet, now time.Duration) {
+	f.pending = append(f.pending, p)
+	datagram := p.bytes[:p.size]
+	segment, err := f.codec.Decode(datagram)
+	if err != nil {
+		f.malformed++
+		return
+	}
+	f.carry(f.steerer.Handle(segment, now), datagram)
+}
+
+// carry carries out a verdict.
+func (f *Forwarder) carry(v agatesteer.Verdict, datagram []byte) {
+	f.verdicts[v.Reason]++
+	switch v.Action {
+	case agatesteer.Forward:
+		f.codec.Mark(datagram, v.Token)
+		f.outbox.Add(v.Address, f.codec.AppendPrefix(f.outbox.Prefix(), v.Server), datagram)
+	case agatesteer.Reset:
+		f.outbox.Add(f.codec.Caller(v.Flow), nil, f.codec.Reset(v.Flow, v.Sequence))
+	case agatesteer.Drop:
+	}
+}
+
+// update takes over a newer catalog.
+func (f *Forwarder) update(u Update) {
+	f.steerer.Update(u.Catalog, f.now())
+	f.steerer.Confirm(u.Confirmed.Sub(f.started))
+}
+
+// tick does what falls due with time.
+func (f *Forwarder) tick() {
+	for _, v := range f.steerer.Tick(f.now()) {
+		f.carry(v, nil)
+	}
+	f.flush()
+}
