--- a/core/process/agatenotice/notice.go
+++ b/core/process/agatenotice/notice.go
@@ -66,6 +66,8 @@
 	Loads []agateload.Load `cbor:"9,keyasint,omitempty"`
 	// Leaving says that the process is about to end.
 	Leaving bool `cbor:"10,keyasint,omitempty"`
+	// Failing says that the sender cannot read the store.
+	Failing bool `cbor:"12,keyasint,omitempty"`
 	// Answer asks the receiver for its own heartbeat.
 	Answer bool `cbor:"11,keyasint,omitempty"`
 }
--- a/core/process/agatesync/peer.go
+++ b/core/process/agatesync/peer.go
@@ -27,6 +27,8 @@
 	heard time.Duration
 	// tried is when a heartbeat was last sent to it.
 	tried time.Duration
+	// failing says that it cannot read the store.
+	failing bool
 	// hash orders the entries of a data centre as readers.
 	hash uint64
 	// behind is since when it has been ahead of this entry, and differs since
@@ -37,35 +39,42 @@
 // live reports whether the peer is known by its own word.
 func (p *peer) live() bool { return p.heard > 0 }
 
-// rank returns the number of live entries of the data centre that are before
-// this one in the order of readers.
-func (s *Sync) rank() int {
+// rank returns the number of entries of the data centre that should rather read
+// the store than this one.
+func (s *Sync) rank(now time.Duration) int {
 	own := xxhash.Sum64String(s.self.Name)
 	rank := 0
 	for _, p := range s.peers {
-		if p.live() && p.centre == s.self.Centre && p.hash > own {
+		reads := p.live() && !p.failing && now-p.heard <= max(s.policy.Quiet, 4*s.period())
+		if reads && p.centre == s.self.Centre && p.hash > own {
 			rank++
 		}
 	}
 	return rank
 }
 
-// targets returns the peers that get heartbeats and pages: those of the own
-// data centre up to a limit, and a few of each other one, which change.
-func (s *Sync) targets() []*peer {
+// near returns the peers of the own data centre that get heartbeats and pages.
+func (s *Sync) near() []*peer {
+	var peers []*peer
+	for _, p := range s.peers {
+		if p.live() && p.centre == s.self.Centre {
+			peers = append(peers, p)
+		}
+	}
+	return s.sample(peers, s.policy.Near)
+}
+
+// far returns some peers of each other data centre.
+func (s *Sync) far() []*peer {
 	centres := make(map[string][]*peer)
 	for _, p := range s.peers {
-		if p.live() {
+		if p.live() && p.centre != s.self.Centre {
 			centres[p.centre] = append(centres[p.centre], p)
 		}
 	}
 	var chosen []*peer
-	for centre, peers := range centres {
-		limit := s.policy.Far
-		if centre == s.self.Centre {
-			limit = s.policy.Near
-		}
-		chosen = append(chosen, s.sample(peers, limit)...)
+	for _, peers := range centres {
+		chosen = append(chosen, s.sample(peers, s.policy.Far)...)
 	}
 	order(chosen)
 	return chosen
@@ -73,10 +82,10 @@
 
 // sample returns up to limit of the peers, drawn evenly.
 func (s *Sync) sample(peers []*peer, limit int) []*peer {
+	order(peers)
 	if len(peers) <= limit {
 		return peers
 	}
-	order(peers)
 	for i := range limit {
 		j := i + int(s.random()*float64(len(peers)-i))
 		peers[i], peers[j] = peers[j], peers[i]
@@ -102,7 +111,7 @@
 		if seed == s.self.Address || known != nil && known.live() {
 			continue
 		}
-		sends = append(sends, Send{To: seed, Notice: s.beat(true, false)})
+		sends = append(sends, Send{To: seed, Notice: s.introduction(true)})
 	}
 	return sends
 }
@@ -114,39 +123,54 @@
 	return min(max(s.policy.Beat, spread), s.policy.Expire/4)
 }
 
-// beats returns a heartbeat to each target.
-func (s *Sync) beats(now time.Duration) []Send {
-	s.beaten = now
-	targets := s.targets()
-	sends := make([]Send, 0, len(targets))
-	notice := s.beat(false, true)
-	for _, p := range targets {
-		sends = append(sends, Send{To: p.address, Notice: notice})
+// beats returns heartbeats to the peers for whom one is due; urgent ones go to
+// those of the own data centre at once.
+func (s *Sync) beats(now time.Duration, urgent bool) []Send {
+	var targets []*peer
+	if urgent || now-s.beaten >= s.period() {
+		s.beaten = now
+		targets = s.near()
+	}
+	if now-s.beatenFar >= max(s.policy.FarBeat, s.period()) {
+		s.beatenFar = now
+		targets = append(targets, s.far()...)
+	}
+	if len(targets) == 0 {
+		return nil
+	}
+	notice := s.beat(false)
+	sends := make([]Send, len(targets))
+	for i, p := range targets {
+		sends[i] = Send{To: p.address, Notice: notice}
 	}
 	return sends
 }
 
 // Sizes of a heartbeat in bytes, for its period.
 const (
-	beatSize = 120
+	beatSize = 100
 	loadSize = 12
 )
 
-// beat returns a heartbeat.
-func (s *Sync) beat(answer, loads bool) agatenotice.Notice {
+// beat returns a heartbeat. One that asks for an answer names other entries.
+func (s *Sync) beat(answer bool) agatenotice.Notice {
 	catalog := s.Catalog()
 	b := &agatenotice.Beat{
 		Name: s.self.Name, Centre: s.self.Centre, Boot: s.self.Boot,
 		Version: catalog.Version(), Revision: catalog.Revision(), Digest: catalog.Digest(),
-		Confirmed: s.confirmedAge(), Peers: s.someLive(), Leaving: s.leaving, Answer: answer,
-	}
-	if loads {
-		b.Loads = s.loads
-		s.size = beatSize + loadSize*len(s.loads)
+		Confirmed: s.confirmedAge(), Failing: s.failing, Leaving: s.leaving, Answer: answer, Loads: s.loads,
 	}
+	s.size = beatSize + loadSize*len(s.loads)
 	return agatenotice.Notice{Beat: b}
 }
 
+// introduction returns a heartbeat that names other entries.
+func (s *Sync) introduction(answer bool) agatenotice.Notice {
+	notice := s.beat(answer)
+	notice.Beat.Peers = s.someLive()
+	return notice
+}
+
 // confirmedAge returns how long ago the catalog was known to be the newest.
 func (s *Sync) confirmedAge() uint32 {
 	if s.confirmed == 0 {
@@ -185,11 +209,11 @@
 		return nil
 	}
 	first := !p.live()
-	p.name, p.centre, p.boot, p.heard = b.Name, b.Centre, b.Boot, now
+	p.name, p.centre, p.boot, p.heard, p.failing = b.Name, b.Centre, b.Boot, now, b.Failing
 	p.hash = xxhash.Sum64String(b.Name)
 	sends := s.follow(b.Peers, now)
 	if first || b.Answer {
-		sends = append(sends, Send{To: from, Notice: s.beat(false, true)})
+		sends = append(sends, Send{To: from, Notice: s.introduction(false)})
 	}
 	return append(sends, s.compare(p, b, now)...)
 }
@@ -216,7 +240,7 @@
 		}
 		if p := s.meet(address); p != nil {
 			p.tried = now
-			sends = append(sends, Send{To: address, Notice: s.beat(true, false)})
+			sends = append(sends, Send{To: address, Notice: s.introduction(true)})
 		}
 	}
 	return sends
--- a/core/process/agatesync/policy.go
+++ b/core/process/agatesync/policy.go
@@ -9,6 +9,12 @@
 	// entries the time between them grows.
 	Beat time.Duration
 	Rate int
+	// FarBeat is the shortest time between two heartbeats to another data
+	// centre, whose bytes are dear.
+	FarBeat time.Duration
+	// Quiet is how long a reader may send no heartbeat before another reads in
+	// its place.
+	Quiet time.Duration
 	// Expire is how long an entry is held to live without a heartbeat.
 	Expire time.Duration
 	// Seek is the time between two heartbeats to seeds.
@@ -17,8 +23,8 @@
 	// heartbeats and pages at most, and Far that of each other one.
 	Near, Far int
 	// Takeover is how long the view must be unconfirmed before the next entry
-	// in the order of readers reads the store, and Step how much longer for
-	// each that is before it, up to TakeoverMax.
+	// in the order of readers reads the store, longer than a watch waits; and
+	// Step how much longer for each that is before it, up to TakeoverMax.
 	Takeover, Step, TakeoverMax time.Duration
 	// Behind is how long an entry may be behind another before it asks, and
 	// Differ how long it may hold other registrations at the same revision.
@@ -37,13 +43,15 @@
 		Beat: 100 * time.Millisecond,
 		// The design leaves 10 KB a second for control, half of it for links.
 		Rate:        5000,
+		FarBeat:     500 * time.Millisecond,
+		Quiet:       time.Second,
 		Expire:      3 * time.Second,
 		Seek:        time.Second,
 		Near:        32,
 		Far:         1,
-		Takeover:    bound / 4,
+		Takeover:    bound * 7 / 8,
 		Step:        bound / 20,
-		TakeoverMax: bound / 2,
+		TakeoverMax: bound,
 		Behind:      60 * time.Millisecond,
 		Differ:      bound / 6,
 		AskAgain:    250 * time.Millisecond,
--- a/core/process/agatesync/sync.go
+++ b/core/process/agatesync/sync.go
@@ -51,9 +51,12 @@
 	confirmed time.Duration
 	// loads are this entry's own, for the next heartbeats.
 	loads []agateload.Load
-	// beaten is when heartbeats were last sent, and size that of the last one.
-	beaten time.Duration
-	size   int
+	// beaten and beatenFar are when heartbeats were last sent within the data
+	// centre and to others, and size that of the last one in bytes.
+	beaten, beatenFar time.Duration
+	size              int
+	// failing says that the last read of the store failed.
+	failing bool
 	// asked is when the last question was sent, and whole when the last one for
 	// everything was.
 	asked, whole time.Duration
@@ -91,7 +94,16 @@
 func (s *Sync) Leave(now time.Duration) []Send {
 	s.now = now
 	s.leaving = true
-	return s.beats(now)
+	return append(s.beats(now, true), s.farewell()...)
+}
+
+// farewell returns heartbeats to entries of other data centres.
+func (s *Sync) farewell() []Send {
+	var sends []Send
+	for _, p := range s.far() {
+		sends = append(sends, Send{To: p.address, Notice: s.beat(false)})
+	}
+	return sends
 }
 
 // Paused forgets what a pause has made uncertain: how new the catalog is.
@@ -104,11 +116,15 @@
 	before := s.Catalog()
 	s.merger.Apply(changes, now)
 	s.confirmed = max(s.confirmed, asked)
+	s.failing = false
 	return s.tell(before)
 }
 
 // Failed notes that the store could not be read.
-func (s *Sync) Failed(now time.Duration) { s.merger.Failed(now) }
+func (s *Sync) Failed(now time.Duration) {
+	s.failing = true
+	s.merger.Failed(now)
+}
 
 // tell returns what the peers of the data centre are told of the changes since
 // an earlier catalog.
@@ -122,7 +138,7 @@
 		notices = append(notices, s.configParts(after)...)
 	}
 	var sends []Send
-	for _, p := range s.targets() {
+	for _, p := range s.near() {
 		for _, notice := range notices {
 			sends = append(sends, Send{To: p.address, Notice: notice})
 		}
@@ -156,7 +172,7 @@
 	if s.leaving {
 		return s.confirmed == 0
 	}
-	rank := s.rank()
+	rank := s.rank(now)
 	if rank == 0 || s.confirmed == 0 {
 		return true
 	}
@@ -175,16 +191,13 @@
 		s.sought = now
 		sends = append(sends, s.seek()...)
 	}
-	if now-s.beaten >= s.period() {
-		sends = append(sends, s.beats(now)...)
-	}
-	return sends
+	return append(sends, s.beats(now, false)...)
 }
 
 // Urge returns heartbeats at once, for news that others can use.
 func (s *Sync) Urge(now time.Duration) []Send {
 	s.now = now
-	return s.beats(now)
+	return s.beats(now, true)
 }
 
 // Receive takes in a notice and returns what is to be sent.
--- a/entry/process/agatedirect/direct.go
+++ b/entry/process/agatedirect/direct.go
@@ -106,8 +106,8 @@
 func (d *Direct) timing() agatekeeper.Timing {
 	bound := d.bound()
 	return agatekeeper.Timing{
-		Wait:     bound / 2,
-		Answer:   bound / 4,
+		Wait:     bound * 2 / 3,
+		Answer:   bound / 6,
 		Pause:    bound / 10,
 		RetryMin: 50 * time.Millisecond,
 		RetryMax: bound / 4,
