--- a/core/process/agatesilence/silence.go
+++ b/core/process/agatesilence/silence.go
@@ -15,8 +15,9 @@
 	Confirm int
 	// Patience is how long a server must have been silent to be confirmed.
 	Patience time.Duration
-	// Retry is the time between two trials of a silent server.
-	Retry time.Duration
+	// Retry is the time between two trials of a silent server, by all entries
+	// together, and RetryMax the longest that one entry waits.
+	Retry, RetryMax time.Duration
 }
 
 // maxFlows bounds the flows that are told apart.
@@ -128,8 +129,17 @@
 	return w.flows() >= p.Confirm && now-w.heard >= p.Patience
 }
 
-// Due reports whether a suspected server may be given a new flow as a trial.
-func (w *Watch) Due(p Policy, now time.Duration) bool { return now-w.missed >= p.Retry }
+// Due reports whether a suspected server may be given a new flow as a trial, by
+// an entry that shares its knowledge with a number of others. Each trial costs a
+// caller the time after which it repeats itself.
+func (w *Watch) Due(p Policy, others int, now time.Duration) bool {
+	return now-w.missed >= p.interval(others)
+}
+
+// interval returns the time between two trials by one of several entries.
+func (p Policy) interval(others int) time.Duration {
+	return min(p.Retry*time.Duration(others+1), max(p.RetryMax, p.Retry))
+}
 
 // Tried notes that a new flow was given as a trial.
 func (w *Watch) Tried(now time.Duration) { w.missed = now }
--- a/core/process/agatesteer/policy.go
+++ b/core/process/agatesteer/policy.go
@@ -53,6 +53,7 @@
 			Confirm:  3,
 			Patience: 350 * time.Millisecond,
 			Retry:    time.Second,
+			RetryMax: 4 * time.Second,
 		},
 	}
 }
--- a/core/process/agatesteer/share.go
+++ b/core/process/agatesteer/share.go
@@ -162,15 +162,23 @@
 		sum.add(each)
 	}
 	for name, sum := range sums {
-		known := s.centres[name]
-		if known == nil {
-			known = &centreState{}
-			s.centres[name] = known
-		}
-		known.silent = sum.silent(s.policy.Silence)
+		s.centreNamed(name).silent = sum.silent(s.policy.Silence)
+	}
+}
+
+// centreNamed returns what is known of another data centre.
+func (s *Steerer) centreNamed(name string) *centreState {
+	known, ok := s.centres[name]
+	if !ok {
+		known = &centreState{}
+		s.centres[name] = known
 	}
+	return known
 }
 
+// centreOf returns what is known of a server's data centre.
+func (s *Steerer) centreOf(each *server) *centreState { return s.centreNamed(each.instance.Centre) }
+
 // centreSum sums up a data centre's servers.
 type centreSum struct {
 	// heard is when any of them last showed life, first since when flows miss
@@ -194,11 +202,16 @@
 	return c.servers > 1 && c.flows >= p.Confirm && c.first > c.heard
 }
 
-// unreachable reports whether a server's data centre cannot be reached, but for
-// a trial from time to time.
-func (s *Steerer) unreachable(each *server, now time.Duration) bool {
-	known := s.centres[each.instance.Centre]
-	return known != nil && known.silent && now-known.tried < s.policy.Silence.Retry
+// unreachable reports whether a server's data centre cannot be reached.
+func (s *Steerer) unreachable(each *server) bool {
+	return each.instance.Centre != s.centre && s.centreOf(each).silent
+}
+
+// centreDue reports whether a server of another data centre may be given a new
+// flow as a trial.
+func (s *Steerer) centreDue(each *server, now time.Duration) bool {
+	return each.silence.Due(s.policy.Silence, len(s.reports), now) &&
+		now-s.centreOf(each).tried >= s.policy.Silence.RetryMax
 }
 
 // dead reports whether the open flows of a server should be given up.
@@ -206,7 +219,6 @@
 	if on.silence.Confirmed(s.policy.Silence, now) {
 		return true
 	}
-	known := s.centres[on.instance.Centre]
 	flows, _ := on.silence.Missing()
-	return known != nil && known.silent && flows > 0 && now-on.silence.LastHeard() >= s.policy.Silence.Patience
+	return s.unreachable(on) && flows > 0 && now-on.silence.LastHeard() >= s.policy.Silence.Patience
 }
--- a/core/process/agatesteer/steer.go
+++ b/core/process/agatesteer/steer.go
@@ -268,19 +268,29 @@
 	return chosen
 }
 
-// silent reports whether a server should be left out.
+// silent reports whether a server should be left out. Of another data centre
+// one server at a time is tried, since a cut silences all of them.
 func (s *Steerer) silent(each *server, now time.Duration) bool {
-	suspected := each.silence.Suspected(s.policy.Silence) && !each.silence.Due(s.policy.Silence, now)
-	return suspected || s.unreachable(each, now)
+	if s.unreachable(each) {
+		return !s.centreDue(each, now)
+	}
+	if !each.silence.Suspected(s.policy.Silence) {
+		return false
+	}
+	if each.instance.Centre != s.centre {
+		return !s.centreDue(each, now)
+	}
+	return !each.silence.Due(s.policy.Silence, len(s.reports), now)
 }
 
 // tried notes the trial of a server that is left out otherwise.
 func (s *Steerer) tried(chosen *server, now time.Duration) {
-	if chosen.silence.Suspected(s.policy.Silence) {
-		chosen.silence.Tried(now)
+	if !s.unreachable(chosen) && !chosen.silence.Suspected(s.policy.Silence) {
+		return
 	}
-	if known := s.centres[chosen.instance.Centre]; known != nil && known.silent {
-		known.tried = now
+	chosen.silence.Tried(now)
+	if chosen.instance.Centre != s.centre {
+		s.centreOf(chosen).tried = now
 	}
 }
 
--- a/entry/process/agatedirect/direct.go
+++ b/entry/process/agatedirect/direct.go
@@ -32,8 +32,8 @@
 	// receiveBatch is the number of packets read by one system call.
 	receiveBatch = 32
 	// settled is how long no packet must have come after the signal to stop
-	// before the process ends: two of the routers' checks, and as much again.
-	settled = 2 * time.Second
+	// before the process ends: longer than the routers take between two checks.
+	settled = 700 * time.Millisecond
 	// graceMargin is how long before the end of the grace the process ends.
 	graceMargin = time.Second
 	// stopCheck is the time between two looks at whether packets still come.
