Explain flows in the log, pass on only own signs of life, and reset flows of gone servers later

Cause: signs of life that went to and fro between entries grew younger with each beat, so that servers behind a cut never counted as silent.

--- a/core/connection/agatetrack/flow.go
+++ b/core/connection/agatetrack/flow.go
@@ -53,6 +53,9 @@
 	Asked time.Duration
 	// Requests is the number of requests seen.
 	Requests uint32
+	// Repeats is the number of segments sent again since the server last showed
+	// life on the flow.
+	Repeats int
 	// Seen is when the last segment came.
 	Seen time.Duration
 	// sent is when the newest data, or the first SYN, came.
@@ -81,20 +84,32 @@
 		f.Phase = Closed
 		e.Ended = true
 	}
+	f.repeat(e)
+	return e
+}
+
+// repeat keeps what depends on whether the server has shown life.
+func (f *Flow[O]) repeat(e Event) {
 	if e.Answered {
 		f.granted = f.end
+		f.Repeats = 0
+	}
+	if e.Repeated {
+		f.Repeats++
 	}
-	return e
 }
 
 // reopen takes in a SYN of a known flow.
 func (f *Flow[O]) reopen(now time.Duration) Event {
 	if f.Phase != Opening {
 		f.Phase = Opening
+		f.Waiting = false
+		f.Repeats = 0
 		f.sent = now
 		return Event{}
 	}
 	e := Event{Repeated: true, Since: f.sent}
+	f.Repeats++
 	f.sent = now
 	return e
 }
--- a/core/process/agatesilence/silence.go
+++ b/core/process/agatesilence/silence.go
@@ -32,8 +32,9 @@
 // Watch is what is known of one server's silence. The zero value is a server
 // about which nothing is known.
 type Watch struct {
-	// heard is the time of the last sign of life.
-	heard time.Duration
+	// heard is the time of the last sign of life, and seen that of the last one
+	// that was seen here; at most heard.
+	heard, seen time.Duration
 	// witnesses are the flows without an answer since then; each is another.
 	witnesses [maxFlows]witness
 	count     int
@@ -45,8 +46,14 @@
 	missed time.Duration
 }
 
-// Heard notes a sign of life at the given time. It drops what is known of
-// flows that were sent before.
+// Seen notes a sign of life that was seen here.
+func (w *Watch) Seen(at time.Duration) {
+	w.seen = max(w.seen, at)
+	w.Heard(at)
+}
+
+// Heard notes a sign of life that was seen here or that another entry has seen.
+// It drops what is known of flows that were sent before.
 func (w *Watch) Heard(at time.Duration) {
 	if at <= w.heard {
 		return
@@ -65,6 +72,10 @@
 	}
 }
 
+// LastSeen returns the time of the last sign of life that was seen here. Only
+// that is passed on: what went to and fro would grow younger each time.
+func (w *Watch) LastSeen() time.Duration { return w.seen }
+
 // LastHeard returns the time of the last sign of life.
 func (w *Watch) LastHeard() time.Duration { return w.heard }
 
--- a/core/process/agatesteer/note.go
+++ b/core/process/agatesteer/note.go
@@ -15,7 +15,7 @@
 		return
 	}
 	if event.Answered {
-		on.silence.Heard(now)
+		on.silence.Seen(now)
 	}
 	if event.Repeated {
 		s.miss(f, event, now)
--- a/core/process/agatesteer/policy.go
+++ b/core/process/agatesteer/policy.go
@@ -30,6 +30,9 @@
 	Fresh time.Duration
 	// Recent is how long what another entry has said of servers counts.
 	Recent time.Duration
+	// Transit is how long what another entry says may be on its way: ages are
+	// stated as of when it was written.
+	Transit time.Duration
 	// Pick holds the weights of the choice of a server.
 	Pick agatepick.Policy
 	// Silence holds the thresholds for silent servers.
@@ -47,6 +50,7 @@
 		Cold:      0.6,
 		Fresh:     2 * time.Second,
 		Recent:    2 * time.Second,
+		Transit:   20 * time.Millisecond,
 		Pick:      agatepick.Policy{Distance: 0.35, MaxSilent: 0.5},
 		Silence: agatesilence.Policy{
 			Suspect:  2,
--- a/core/process/agatesteer/share.go
+++ b/core/process/agatesteer/share.go
@@ -39,7 +39,7 @@
 func (s *server) own(now, recent time.Duration) (agateload.Load, bool) {
 	missed, since := s.silence.Own()
 	waiting := len(s.waiting) + len(s.opening)
-	heard := s.silence.LastHeard()
+	heard := s.silence.LastSeen()
 	if s.token == 0 || waiting == 0 && s.open == 0 && missed == 0 && (heard == 0 || now-heard > recent) {
 		return agateload.Load{}, false
 	}
@@ -70,7 +70,7 @@
 			continue
 		}
 		if load.Heard > 0 {
-			on.silence.Heard(now - agateload.Duration(load.Heard))
+			on.silence.Heard(now - agateload.Duration(load.Heard) - s.policy.Transit)
 		}
 		r := report{on: on, load: load, missed: int(load.Missed)}
 		r.since = now - agateload.Duration(load.Since)
--- a/core/process/agatesteer/steer.go
+++ b/core/process/agatesteer/steer.go
@@ -120,9 +120,39 @@
 func (s *Steerer) Handle(segment agatesegment.Segment, now time.Duration) Verdict {
 	v := s.decide(segment, now)
 	v.Flow = segment.Flow
+	if v.Reason != Held {
+		s.explain(&v, now)
+	}
 	return v
 }
 
+// explain adds to a verdict what it was decided by.
+func (s *Steerer) explain(v *Verdict, now time.Duration) {
+	e := &v.Evidence
+	e.Version, e.Revision = s.catalog.Version(), s.catalog.Revision()
+	e.Age = now - s.confirmed
+	if v.on == nil {
+		return
+	}
+	v.Server, v.Address = v.on.instance.ID, v.on.instance.Address
+	e.Missed, _ = v.on.silence.Missing()
+	if heard := v.on.silence.LastHeard(); heard > 0 {
+		e.Heard = now - heard
+	}
+	if v.Reason != Placed && v.Reason != Moved {
+		return
+	}
+	e.Candidates = len(s.candidates)
+	for i, c := range s.candidates {
+		if c.Silent {
+			e.Silent++
+		}
+		if s.offered[i] == v.on {
+			e.Load, e.Capacity = c.Load, c.Capacity
+		}
+	}
+}
+
 func (s *Steerer) decide(segment agatesegment.Segment, now time.Duration) Verdict {
 	switch {
 	case segment.Opens():
@@ -166,7 +196,7 @@
 		s.assign(f, known)
 	}
 	s.note(f, event, now)
-	if instance.State == agateinstance.Gone && s.lost(known, event) {
+	if instance.State == agateinstance.Gone && s.lost(known, f, event) {
 		return s.reset(f, Ended)
 	}
 	if f.Waiting && s.dead(known, now) && s.idempotent(f) {
@@ -182,14 +212,25 @@
 }
 
 // lost reports whether a server that is no longer registered is dead for sure:
-// it has been started anew, another has its address, or it does not answer.
-func (s *Steerer) lost(gone *server, event agatetrack.Event) bool {
-	return event.Repeated && event.Since > gone.silence.LastHeard() || s.catalog.Replaced(gone.instance)
+// it has been started anew, another has its address, or it does not answer. One
+// segment without an answer may have been lost, and a server may serve its flows
+// for a while after its registration is gone.
+func (s *Steerer) lost(gone *server, f *flow, event agatetrack.Event) bool {
+	if s.catalog.Replaced(gone.instance) {
+		return true
+	}
+	unanswered := event.Repeated && event.Since > gone.silence.LastHeard()
+	return unanswered && (f.Repeats >= lostRepeats || gone.silence.Suspected(s.policy.Silence))
 }
 
+// lostRepeats is the number of segments of a flow sent again from which on a
+// server without registration is held to be dead. Two in a row are lost in far
+// fewer than one flow in a thousand.
+const lostRepeats = 2
+
 // reset ends a flow towards its caller.
 func (s *Steerer) reset(f *flow, reason Reason) Verdict {
-	v := Verdict{Action: Reset, Reason: reason, Flow: f.Tuple, Sequence: f.Owner.acknowledged}
+	v := Verdict{Action: Reset, Reason: reason, Flow: f.Tuple, Sequence: f.Owner.acknowledged, on: f.Owner.server}
 	s.flows.Remove(f)
 	return v
 }
@@ -198,7 +239,7 @@
 func (s *Steerer) forward(to *server, token uint32, reason Reason) Verdict {
 	return Verdict{
 		Action: Forward, Reason: reason,
-		Server: to.instance.ID, Address: to.instance.Address, Token: token,
+		Server: to.instance.ID, Address: to.instance.Address, Token: token, on: to,
 	}
 }
 
@@ -298,11 +339,12 @@
 // way: at the moment for a short flow, on average for a long one.
 func (s *Steerer) load(each *server, u *usage, long bool) float64 {
 	waiting := float64(len(each.waiting) + len(each.opening))
+	busy := max(u.busy, minBusy)
 	if long {
 		open := float64(each.open) + each.reported.open
-		return momentWeight*(waiting+each.reported.waiting) + open*max(u.busy, minBusy)
+		return momentWeight*(waiting+each.reported.waiting) + open*busy
 	}
-	return waiting + max(float64(each.open)-waiting, 0)*u.busy + each.reported.waiting
+	return waiting + max(float64(each.open)-waiting, 0)*busy + each.reported.waiting
 }
 
 const (
--- a/core/process/agatesteer/tick.go
+++ b/core/process/agatesteer/tick.go
@@ -51,7 +51,9 @@
 		vip, ok := s.catalog.VIP(f.Tuple.Service())
 		switch {
 		case dead && ok && vip.Kind == agatevip.Idempotent:
-			resets = append(resets, s.reset(f, Silent))
+			v := s.reset(f, Silent)
+			s.explain(&v, now)
+			resets = append(resets, v)
 		case now-f.Asked > s.timeout(vip):
 			f.Waiting = false
 			s.count(f)
--- a/core/process/agatesteer/verdict.go
+++ b/core/process/agatesteer/verdict.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"agatereach/core/request/agatetuple"
 )
@@ -64,4 +65,26 @@
 	Token uint32
 	// Sequence is the number that a Reset carries: what the caller expects.
 	Sequence uint32
+	// Evidence is what decided it, except for Held.
+	Evidence Evidence
+	// on is the server that it is about; nil for none.
+	on *server
+}
+
+// Evidence is what a verdict was decided by, for explaining it later.
+type Evidence struct {
+	// Load is the number of requests expected at the server, and Capacity that
+	// of those it serves at full speed.
+	Load, Capacity float64
+	// Candidates is the number of servers of the service, and Silent that of
+	// those left out as silent.
+	Candidates, Silent int
+	// Missed is the number of flows to the server without an answer, and Heard
+	// the time since its last sign of life; 0 if it never gave one.
+	Missed int
+	Heard  time.Duration
+	// Version and Revision are those of the catalog, and Age the time since it
+	// was known to be the newest.
+	Version, Revision int64
+	Age               time.Duration
 }
--- a/entry/process/agatedirect/direct.go
+++ b/entry/process/agatedirect/direct.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
@@ -24,6 +25,7 @@
 	"agatereach/entry/connection/agatereceiver"
 	"agatereach/entry/process/agateforwarder"
 	"agatereach/entry/process/agatekeeper"
+	"agatereach/entry/process/agatelogsink"
 	"agatereach/entry/process/agatereadiness"
 	"agatereach/entry/process/agatestorereader"
 )
@@ -50,16 +52,33 @@
 	source    agatestorereader.Source
 	readiness agatereadiness.Readiness
 	stopping  atomic.Bool
+	sink      *agatelogsink.Sink
 	log       *slog.Logger
 }
 
-// New returns a process that reads packets by codec and the store by source.
-func New(setup *agatesetup.Setup, codec agateforwarder.Codec, source agatestorereader.Source, log *slog.Logger) *Direct {
-	return &Direct{setup: setup, codec: codec, source: source, log: log}
+// New returns a process that reads packets by codec and the store by source, and
+// logs to log, which writes to sink.
+func New(setup *agatesetup.Setup, codec agateforwarder.Codec, source agatestorereader.Source, sink *agatelogsink.Sink, log *slog.Logger) *Direct {
+	return &Direct{setup: setup, codec: codec, source: source, sink: sink, log: log}
 }
 
-// Run serves until a signal to stop.
+// Run serves until a signal to stop, and returns once the log is written.
 func (d *Direct) Run(ctx context.Context) error {
+	logging, stopLogging := context.WithCancel(context.Background())
+	var writer errgroup.Group
+	writer.Go(func() error { return d.sink.Run(logging) })
+	err := d.serve(ctx)
+	if err != nil {
+		d.log.Error("entry: ended", "error", err)
+	} else {
+		d.log.Info("entry: stopped")
+	}
+	stopLogging()
+	return errors.Join(err, writer.Wait())
+}
+
+// serve runs the duties until a signal to stop.
+func (d *Direct) serve(ctx context.Context) error {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
@@ -70,7 +89,7 @@
 		return err
 	}
 	defer cleanup()
-	serve, err := d.readiness.Listen(ctx, d.setup.Ready)
+	serveReady, err := d.readiness.Listen(ctx, d.setup.Ready)
 	if err != nil {
 		return err
 	}
@@ -84,7 +103,7 @@
 	for _, run := range []func(context.Context) error{
 		agatereceiver.New(socket, p.forwarder, receiveBatch).Run,
 		agatereceiver.New(links, p.keeper, receiveBatch).Run,
-		p.forwarder.Run, p.keeper.Run, p.reader.Run, serve,
+		p.forwarder.Run, p.keeper.Run, p.reader.Run, serveReady,
 	} {
 		group.Go(func() error { return run(ctx) })
 	}
--- a/entry/process/agateforwarder/forwarder.go
+++ b/entry/process/agateforwarder/forwarder.go
@@ -17,6 +17,7 @@
 	"agatereach/core/request/agatesegment"
 	"agatereach/core/request/agatetuple"
 	"agatereach/core/version/agatecatalog"
+	"agatereach/entry/request/agateexplain"
 )
 
 const (
@@ -90,14 +91,11 @@
 	pending []*packet
 	// last is when a caller's packet last came.
 	last atomic.Int64
-	log  *slog.Logger
-	counts
-}
-
-// counts are what the forwarder has done since the last summary.
-type counts struct {
-	verdicts  map[agatesteer.Reason]uint64
-	malformed uint64
+	// malformed counts the packets that could not be read, and told those that
+	// were logged.
+	malformed, told uint64
+	explain         *agateexplain.Explain
+	log             *slog.Logger
 }
 
 // New returns a forwarder that sends through the socket.
@@ -114,8 +112,8 @@
 		share:   share,
 		// The clock starts above 0, which means never.
 		started: time.Now().Add(-time.Second),
+		explain: agateexplain.New(log, time.Now()),
 		log:     log,
-		counts:  counts{verdicts: make(map[agatesteer.Reason]uint64)},
 	}
 	return f
 }
@@ -166,6 +164,7 @@
 		}
 		select {
 		case <-ctx.Done():
+			f.explain.Summary()
 			return nil
 		case p := <-arrived:
 			f.packets(p)
@@ -222,12 +221,12 @@
 		f.malformed++
 		return
 	}
-	f.carry(f.steerer.Handle(segment, now), datagram)
+	f.carry(f.steerer.Handle(segment, now), datagram, now)
 }
 
 // carry carries out a verdict.
-func (f *Forwarder) carry(v agatesteer.Verdict, datagram []byte) {
-	f.verdicts[v.Reason]++
+func (f *Forwarder) carry(v agatesteer.Verdict, datagram []byte, now time.Duration) {
+	f.explain.Verdict(&v, f.started.Add(now))
 	switch v.Action {
 	case agatesteer.Forward:
 		f.codec.Mark(datagram, v.Token)
@@ -249,9 +248,15 @@
 
 // tick does what falls due with time.
 func (f *Forwarder) tick() {
-	for _, v := range f.steerer.Tick(f.now()) {
-		f.carry(v, nil)
+	now := f.now()
+	for _, v := range f.steerer.Tick(now) {
+		f.carry(v, nil, now)
 	}
 	f.flush()
-	f.share(f.steerer.Loads(f.now()), false)
+	f.share(f.steerer.Loads(now), false)
+	f.explain.Tick(f.started.Add(now))
+	if f.malformed > f.told {
+		f.log.Warn("flow: packets not understood", "packets", f.malformed-f.told)
+		f.told = f.malformed
+	}
 }
