Make heartbeats of large data centres cheaper: rounds, urgent loads, less counting

Cause: each report was summed over all entries' servers, each event counted all peers, and urgent heartbeats carried all loads.

--- a/core/process/agatenotice/notice.go
+++ b/core/process/agatenotice/notice.go
@@ -64,6 +64,8 @@
 	Peers []netip.AddrPort `cbor:"8,keyasint,omitempty"`
 	// Loads are what it has seen of servers.
 	Loads []agateload.Load `cbor:"9,keyasint,omitempty"`
+	// Partial says that Loads are only those that have become urgent.
+	Partial bool `cbor:"13,keyasint,omitempty"`
 	// Leaving says that the process is about to end.
 	Leaving bool `cbor:"10,keyasint,omitempty"`
 	// Failing says that the sender cannot read the store.
--- a/core/process/agatesteer/policy.go
+++ b/core/process/agatesteer/policy.go
@@ -49,7 +49,7 @@
 		Request:   10 * time.Second,
 		Cold:      0.6,
 		Fresh:     2 * time.Second,
-		Recent:    2 * time.Second,
+		Recent:    5 * time.Second,
 		Transit:   20 * time.Millisecond,
 		Pick:      agatepick.Policy{Distance: 0.35, MaxSilent: 0.5},
 		Silence: agatesilence.Policy{
--- a/core/process/agatesteer/server.go
+++ b/core/process/agatesteer/server.go
@@ -53,8 +53,10 @@
 	busy float64
 	// silence is what is known of it not answering.
 	silence agatesilence.Watch
-	// reported is the load that other entries state.
-	reported reported
+	// reported is the load that other entries state, and suspicions are what
+	// they say of answers that it owes.
+	reported   reported
+	suspicions map[string]suspicion
 }
 
 // reported is the load that other entries of a server state.
--- a/core/process/agatesteer/share.go
+++ b/core/process/agatesteer/share.go
@@ -6,41 +6,62 @@
 
 	"agatereach/core/process/agatesilence"
 	"agatereach/core/request/agateload"
+	"agatereach/core/version/agatecatalog"
 )
 
-// report is what another entry said of a server.
-type report struct {
+// suspicion is what another entry said of a server that misses answers.
+type suspicion struct {
+	flows int
+	since time.Duration
+}
+
+// stated is a load that another entry has stated.
+type stated struct {
 	on   *server
 	load agateload.Load
-	// missed is the number of flows without an answer, since the time since.
-	missed int
-	since  time.Duration
 }
 
-// reports is the last word of another entry.
-type reports struct {
-	at   time.Duration
-	list []report
+// statement is the last word of another entry.
+type statement struct {
+	at    time.Duration
+	loads []stated
 }
 
-// Loads returns what this entry has seen of the servers that it has flows or
-// suspicions of.
+// Loads returns what this entry has seen of the servers that others should know
+// of: those with its load, and those that are or were suspected.
 func (s *Steerer) Loads(now time.Duration) []agateload.Load {
 	var loads []agateload.Load
 	for _, each := range s.servers {
-		if load, ok := each.own(now, s.policy.Recent); ok {
+		if load, ok := each.own(now); ok {
 			loads = append(loads, load)
 		}
 	}
 	return loads
 }
 
-// own returns what this entry has seen of a server; false if that is nothing.
-func (s *server) own(now, recent time.Duration) (agateload.Load, bool) {
+// Suspicions returns what this entry has seen of the servers that miss answers.
+func (s *Steerer) Suspicions(now time.Duration) []agateload.Load {
+	var loads []agateload.Load
+	for _, each := range s.servers {
+		if missed, _ := each.silence.Own(); missed == 0 {
+			continue
+		}
+		if load, ok := each.own(now); ok {
+			loads = append(loads, load)
+		}
+	}
+	return loads
+}
+
+// minStated is the smallest number of requests under way that is stated.
+const minStated = 0.05
+
+// own returns what this entry has seen of a server; false if others need not
+// know.
+func (s *server) own(now time.Duration) (agateload.Load, bool) {
 	missed, since := s.silence.Own()
-	waiting := len(s.waiting) + len(s.opening)
-	heard := s.silence.LastSeen()
-	if s.token == 0 || waiting == 0 && s.open == 0 && missed == 0 && (heard == 0 || now-heard > recent) {
+	doubted := missed > 0 || len(s.suspicions) > 0
+	if s.token == 0 || s.busy < minStated && s.open == 0 && !doubted {
 		return agateload.Load{}, false
 	}
 	load := agateload.Load{
@@ -49,8 +70,8 @@
 		Open:    uint16(min(s.open, math.MaxUint16)),
 		Missed:  uint8(missed),
 	}
-	if heard > 0 {
-		load.Heard = agateload.Age(now - heard)
+	if seen := s.silence.LastSeen(); seen > 0 && doubted {
+		load.Heard = agateload.Age(now - seen)
 	}
 	if missed > 0 {
 		load.Since = agateload.Age(now - since)
@@ -58,27 +79,56 @@
 	return load, true
 }
 
-// Report takes in the loads that another entry states, in place of those that
-// it stated before.
-func (s *Steerer) Report(from string, loads []agateload.Load, now time.Duration) {
-	s.retract(from)
-	word := reports{at: now}
+// Report takes in the loads that another entry states. A partial statement adds
+// to those that it stated before, any other replaces them.
+func (s *Steerer) Report(from string, loads []agateload.Load, partial bool, now time.Duration) {
+	if !partial {
+		s.retract(from)
+	}
+	word := statement{at: now}
 	for _, load := range loads {
 		instance, found := s.catalog.Find(load.Token)
 		on := s.servers[instance.Key]
-		if found != "found" || on == nil {
+		if found != agatecatalog.Found || on == nil {
 			continue
 		}
-		if load.Heard > 0 {
-			on.silence.Heard(now - agateload.Duration(load.Heard) - s.policy.Transit)
+		s.hear(on, from, load, now)
+		if !partial {
+			on.reported.add(load, 1)
+			word.loads = append(word.loads, stated{on: on, load: load})
 		}
-		r := report{on: on, load: load, missed: int(load.Missed)}
-		r.since = now - agateload.Duration(load.Since)
-		on.reported.add(load, 1)
-		word.list = append(word.list, r)
 	}
-	s.reports[from] = word
-	s.gather(word)
+	if !partial {
+		s.statements[from] = word
+	}
+}
+
+// hear takes in whether another entry has seen a server live.
+func (s *Steerer) hear(on *server, from string, load agateload.Load, now time.Duration) {
+	if load.Heard > 0 {
+		on.silence.Heard(now - agateload.Duration(load.Heard) - s.policy.Transit)
+	}
+	if load.Missed > 0 {
+		since := now - agateload.Duration(load.Since)
+		on.suspicions[from] = suspicion{flows: int(load.Missed), since: since}
+		on.gather()
+	}
+}
+
+// gather sums up the suspicions of other entries.
+func (s *server) gather() {
+	flows := 0
+	var first time.Duration
+	for _, each := range s.suspicions {
+		if each.since <= s.silence.LastHeard() {
+			continue
+		}
+		if flows == 0 || each.since < first {
+			first = each.since
+		}
+		flows += each.flows
+	}
+	s.silence.Report(flows, first)
 }
 
 // add adds a load, or takes it off with sign -1.
@@ -89,46 +139,23 @@
 
 // retract drops what another entry has stated.
 func (s *Steerer) retract(from string) {
-	word, ok := s.reports[from]
+	word, ok := s.statements[from]
 	if !ok {
 		return
 	}
-	delete(s.reports, from)
-	for _, r := range word.list {
-		r.on.reported.add(r.load, -1)
-	}
-	s.gather(word)
-}
-
-// gather sums up the suspicions of all entries against the servers that one
-// has named.
-func (s *Steerer) gather(word reports) {
-	named := make(map[*server]bool, len(word.list))
-	for _, r := range word.list {
-		named[r.on] = true
-	}
-	sums := make(map[*server]report, len(named))
-	for _, other := range s.reports {
-		for _, r := range other.list {
-			if !named[r.on] || r.missed == 0 || r.since <= r.on.silence.LastHeard() {
-				continue
-			}
-			sum, known := sums[r.on]
-			if !known || r.since < sum.since {
-				sum.since = r.since
-			}
-			sum.missed += r.missed
-			sums[r.on] = sum
+	delete(s.statements, from)
+	for _, each := range word.loads {
+		each.on.reported.add(each.load, -1)
+		if _, doubted := each.on.suspicions[from]; doubted {
+			delete(each.on.suspicions, from)
+			each.on.gather()
 		}
 	}
-	for on := range named {
-		on.silence.Report(sums[on].missed, sums[on].since)
-	}
 }
 
-// expireReports drops the words of entries that have gone silent.
-func (s *Steerer) expireReports(now time.Duration) {
-	for from, word := range s.reports {
+// expireStatements drops the words of entries that have gone silent.
+func (s *Steerer) expireStatements(now time.Duration) {
+	for from, word := range s.statements {
 		if now-word.at > s.policy.Recent {
 			s.retract(from)
 		}
@@ -210,7 +237,7 @@
 // centreDue reports whether a server of another data centre may be given a new
 // flow as a trial.
 func (s *Steerer) centreDue(each *server, now time.Duration) bool {
-	return each.silence.Due(s.policy.Silence, len(s.reports), now) &&
+	return each.silence.Due(s.policy.Silence, len(s.statements), now) &&
 		now-s.centreOf(each).tried >= s.policy.Silence.RetryMax
 }
 
--- a/core/process/agatesteer/steer.go
+++ b/core/process/agatesteer/steer.go
@@ -33,8 +33,8 @@
 	servers map[agateinstance.Key]*server
 	// services are the servers by service that take new flows.
 	services map[string][]*server
-	// reports are the last words of other entries, by their names.
-	reports map[string]reports
+	// statements are the last words of other entries, by their names.
+	statements map[string]statement
 	// centres are the other data centres by name.
 	centres map[string]*centreState
 	// usages are what was learnt of virtual addresses, by name.
@@ -50,15 +50,15 @@
 // numbers in [0, 1).
 func New(policy Policy, centre string, random func() float64) *Steerer {
 	s := &Steerer{
-		policy:   policy,
-		centre:   centre,
-		random:   random,
-		catalog:  &agatecatalog.Catalog{},
-		servers:  make(map[agateinstance.Key]*server),
-		services: make(map[string][]*server),
-		usages:   make(map[string]*usage),
-		reports:  make(map[string]reports),
-		centres:  make(map[string]*centreState),
+		policy:     policy,
+		centre:     centre,
+		random:     random,
+		catalog:    &agatecatalog.Catalog{},
+		servers:    make(map[agateinstance.Key]*server),
+		services:   make(map[string][]*server),
+		usages:     make(map[string]*usage),
+		statements: make(map[string]statement),
+		centres:    make(map[string]*centreState),
 	}
 	s.flows = agatetrack.New(policy.Flows, policy.Window, s.release)
 	return s
@@ -93,7 +93,11 @@
 func (s *Steerer) enter(instance agateinstance.Instance, now time.Duration) {
 	known, ok := s.servers[instance.Key]
 	if !ok {
-		known = &server{opening: make(map[*flow]struct{}), waiting: make(map[*flow]struct{})}
+		known = &server{
+			opening:    make(map[*flow]struct{}),
+			waiting:    make(map[*flow]struct{}),
+			suspicions: make(map[string]suspicion),
+		}
 		s.servers[instance.Key] = known
 	}
 	if instance.Revision != known.instance.Revision {
@@ -321,7 +325,7 @@
 	if each.instance.Centre != s.centre {
 		return !s.centreDue(each, now)
 	}
-	return !each.silence.Due(s.policy.Silence, len(s.reports), now)
+	return !each.silence.Due(s.policy.Silence, len(s.statements), now)
 }
 
 // tried notes the trial of a server that is left out otherwise.
--- a/core/process/agatesteer/tick.go
+++ b/core/process/agatesteer/tick.go
@@ -19,7 +19,7 @@
 		u.requests *= usageMemory
 	}
 	s.flows.Expire(now - s.idle())
-	s.expireReports(now)
+	s.expireStatements(now)
 	s.judgeCentres(now)
 	var resets []Verdict
 	for _, each := range s.servers {
--- a/core/process/agatesync/fleet_test.go
+++ b/core/process/agatesync/fleet_test.go
@@ -11,6 +11,7 @@
 	"agatereach/core/process/agatemerge"
 	"agatereach/core/process/agatenotice"
 	"agatereach/core/process/agatesync"
+	"agatereach/core/request/agateload"
 	"agatereach/core/version/agatecatalog"
 	"agatereach/core/version/agatechange"
 	"agatereach/core/version/agateinstance"
@@ -115,8 +116,9 @@
 	way     []transit
 	random  *rand.Rand
 	// loss is the share of notices that are lost.
-	loss  float64
-	bytes int
+	loss float64
+	// bytes and posts count what was sent.
+	bytes, posts int
 }
 
 func newFleet(t testing.TB, centres, size int, seed uint64) *fleet {
@@ -185,6 +187,7 @@
 		if len(datagram) > agatenotice.MaxSize {
 			f.t.Fatalf("a notice of %d bytes", len(datagram))
 		}
+		f.posts++
 		f.bytes += len(datagram)
 		if e.cut || f.random.Float64() < f.loss {
 			continue
@@ -252,3 +255,31 @@
 	}
 	return faults
 }
+
+// BenchmarkSecond plays a second of an idle data centre's entries and reports
+// the time and the bytes that one entry takes for it.
+func BenchmarkSecond(b *testing.B) {
+	for _, size := range []int{8, 26, 100} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			f := newFleet(b, 3, size, 1)
+			f.store.configure(1, 50)
+			f.servers(150)
+			f.run(3 * time.Second)
+			loads := make([]agateload.Load, 50)
+			for i := range loads {
+				loads[i] = agateload.Load{Token: uint32(i) << 20, Waiting: 10, Open: 1}
+			}
+			for _, e := range f.entries {
+				e.sync.SetLoads(loads)
+			}
+			f.bytes, f.posts = 0, 0
+			for b.Loop() {
+				f.run(time.Second)
+			}
+			perEntry := float64(b.N * len(f.entries))
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/perEntry, "µs/entry")
+			b.ReportMetric(float64(f.bytes)/perEntry, "B/entry")
+			b.ReportMetric(float64(f.posts)/perEntry, "sends/entry")
+		})
+	}
+}
--- a/core/process/agatesync/peer.go
+++ b/core/process/agatesync/peer.go
@@ -39,13 +39,26 @@
 // live reports whether the peer is known by its own word.
 func (p *peer) live() bool { return p.heard > 0 }
 
+// rankAge is how long the place in the order of readers is kept before it is
+// counted again.
+const rankAge = 50 * time.Millisecond
+
 // rank returns the number of entries of the data centre that should rather read
 // the store than this one.
 func (s *Sync) rank(now time.Duration) int {
+	if s.ranked == 0 || now-s.ranked >= rankAge {
+		s.ranked = now
+		s.place = s.countRank(now)
+	}
+	return s.place
+}
+
+func (s *Sync) countRank(now time.Duration) int {
 	own := xxhash.Sum64String(s.self.Name)
+	quiet := max(s.policy.Quiet, 3*s.cycle())
 	rank := 0
 	for _, p := range s.peers {
-		reads := p.live() && !p.failing && now-p.heard <= max(s.policy.Quiet, 4*s.period())
+		reads := p.live() && !p.failing && now-p.heard <= quiet
 		if reads && p.centre == s.self.Centre && p.hash > own {
 			rank++
 		}
@@ -93,10 +106,24 @@
 	return peers[:limit]
 }
 
-// expire forgets peers that have not been heard for long.
+// expireInterval is the time between two looks at which peers have gone.
+const expireInterval = 250 * time.Millisecond
+
+// expire forgets peers that have not been heard for long. Those of other data
+// centres, who choose a few to write to, are kept for longer.
 func (s *Sync) expire(now time.Duration) {
+	if now-s.expired < expireInterval {
+		return
+	}
+	s.expired = now
+	near := max(s.policy.Expire, 4*s.cycle())
 	for address, p := range s.peers {
-		if now-max(p.heard, p.tried) > s.policy.Expire {
+		limit := near
+		if p.live() && p.centre != s.self.Centre {
+			limit = s.policy.ExpireFar
+		}
+		if now-max(p.heard, p.tried) > limit {
+			s.ranked = 0
 			delete(s.peers, address)
 		}
 	}
@@ -118,34 +145,64 @@
 
 // period returns the time between two rounds of heartbeats.
 func (s *Sync) period() time.Duration {
-	bytes := s.size * len(s.peers)
+	bytes := s.size * min(s.nearCount, s.policy.Round)
 	spread := time.Duration(bytes) * time.Second / time.Duration(s.policy.Rate)
 	return min(max(s.policy.Beat, spread), s.policy.Expire/4)
 }
 
-// beats returns heartbeats to the peers for whom one is due; urgent ones go to
-// those of the own data centre at once.
-func (s *Sync) beats(now time.Duration, urgent bool) []Send {
+// cycle returns the time in which a heartbeat reaches each peer of the data
+// centre, about.
+func (s *Sync) cycle() time.Duration {
+	rounds := (s.nearCount + s.policy.Round - 1) / s.policy.Round
+	return s.period() * time.Duration(max(rounds, 1))
+}
+
+// round returns the peers of the data centre whose turn it is.
+func (s *Sync) round() []*peer {
+	peers := s.near()
+	s.nearCount = len(peers)
+	if len(peers) <= s.policy.Round {
+		return peers
+	}
+	order(peers)
+	turn := make([]*peer, s.policy.Round)
+	for i := range turn {
+		turn[i] = peers[(s.turn+i)%len(peers)]
+	}
+	s.turn = (s.turn + len(turn)) % len(peers)
+	return turn
+}
+
+// beats returns heartbeats to the peers for whom one is due.
+func (s *Sync) beats(now time.Duration) []Send {
 	var targets []*peer
-	if urgent || now-s.beaten >= s.period() {
+	if now-s.beaten >= s.period() {
 		s.beaten = now
-		targets = s.near()
+		targets = s.round()
 	}
 	if now-s.beatenFar >= max(s.policy.FarBeat, s.period()) {
 		s.beatenFar = now
 		targets = append(targets, s.far()...)
 	}
-	if len(targets) == 0 {
-		return nil
-	}
-	notice := s.beat(false)
-	sends := make([]Send, len(targets))
-	for i, p := range targets {
+	return address(targets, s.beat(false))
+}
+
+// address returns the notice to each of the peers.
+func address(peers []*peer, notice agatenotice.Notice) []Send {
+	sends := make([]Send, len(peers))
+	for i, p := range peers {
 		sends[i] = Send{To: p.address, Notice: notice}
 	}
 	return sends
 }
 
+// brief returns a heartbeat without loads, or with some of them.
+func (s *Sync) brief(loads []agateload.Load) agatenotice.Notice {
+	notice := s.beat(false)
+	notice.Beat.Loads, notice.Beat.Partial = loads, true
+	return notice
+}
+
 // Sizes of a heartbeat in bytes, for its period.
 const (
 	beatSize = 100
@@ -179,19 +236,18 @@
 	return agateload.Age(s.now - s.confirmed)
 }
 
-// someLive returns addresses of some live peers.
+// someLive returns addresses of some live peers, in the order of the map, which
+// differs each time.
 func (s *Sync) someLive() []netip.AddrPort {
-	var live []*peer
-	for _, p := range s.peers {
+	addresses := make([]netip.AddrPort, 0, sharedPeers)
+	for address, p := range s.peers {
+		if len(addresses) == sharedPeers {
+			break
+		}
 		if p.live() {
-			live = append(live, p)
+			addresses = append(addresses, address)
 		}
 	}
-	chosen := s.sample(live, sharedPeers)
-	addresses := make([]netip.AddrPort, len(chosen))
-	for i, p := range chosen {
-		addresses[i] = p.address
-	}
 	return addresses
 }
 
@@ -201,6 +257,7 @@
 		return nil
 	}
 	if b.Leaving {
+		s.ranked = 0
 		delete(s.peers, from)
 		return nil
 	}
@@ -209,6 +266,9 @@
 		return nil
 	}
 	first := !p.live()
+	if first || p.failing != b.Failing {
+		s.ranked = 0
+	}
 	p.name, p.centre, p.boot, p.heard, p.failing = b.Name, b.Centre, b.Boot, now, b.Failing
 	p.hash = xxhash.Sum64String(b.Name)
 	sends := s.follow(b.Peers, now)
--- a/core/process/agatesync/policy.go
+++ b/core/process/agatesync/policy.go
@@ -4,19 +4,21 @@
 
 // Policy holds the times and numbers of a sync.
 type Policy struct {
-	// Beat is the shortest time between two heartbeats to an entry, and Rate
-	// the number of bytes a second that all heartbeats may take; with many
-	// entries the time between them grows.
-	Beat time.Duration
-	Rate int
+	// Beat is the shortest time between two rounds of heartbeats, Round the
+	// number of entries that one reaches, in turn, and Rate the number of bytes
+	// a second that they may take; with many entries the rounds are rarer.
+	Beat  time.Duration
+	Round int
+	Rate  int
 	// FarBeat is the shortest time between two heartbeats to another data
 	// centre, whose bytes are dear.
 	FarBeat time.Duration
 	// Quiet is how long a reader may send no heartbeat before another reads in
 	// its place.
 	Quiet time.Duration
-	// Expire is how long an entry is held to live without a heartbeat.
-	Expire time.Duration
+	// Expire is how long an entry of the own data centre is held to live
+	// without a heartbeat, and ExpireFar that for one of another.
+	Expire, ExpireFar time.Duration
 	// Seek is the time between two heartbeats to seeds.
 	Seek time.Duration
 	// Near is the number of entries of the own data centre that get
@@ -40,12 +42,14 @@
 // within the bound.
 func DefaultPolicy(bound time.Duration) Policy {
 	return Policy{
-		Beat: 100 * time.Millisecond,
-		// The design leaves 10 KB a second for control, half of it for links.
-		Rate:        5000,
+		Beat:  100 * time.Millisecond,
+		Round: 8,
+		// The design leaves 10 KB a second for control, most of it for this.
+		Rate:        8000,
 		FarBeat:     500 * time.Millisecond,
 		Quiet:       time.Second,
 		Expire:      3 * time.Second,
+		ExpireFar:   time.Minute,
 		Seek:        time.Second,
 		Near:        32,
 		Far:         1,
--- a/core/process/agatesync/sync.go
+++ b/core/process/agatesync/sync.go
@@ -55,6 +55,16 @@
 	// centre and to others, and size that of the last one in bytes.
 	beaten, beatenFar time.Duration
 	size              int
+	// nearCount is the number of peers of the data centre at the last round,
+	// and turn the place of the next one.
+	nearCount, turn int
+	// place is the number of entries that should rather read the store, as
+	// counted at the time ranked; 0 if it must be counted again. expired is when
+	// peers were last looked through.
+	place           int
+	ranked, expired time.Duration
+	// urged is when urgent loads were last sent.
+	urged time.Duration
 	// failing says that the last read of the store failed.
 	failing bool
 	// asked is when the last question was sent, and whole when the last one for
@@ -94,16 +104,7 @@
 func (s *Sync) Leave(now time.Duration) []Send {
 	s.now = now
 	s.leaving = true
-	return append(s.beats(now, true), s.farewell()...)
-}
-
-// farewell returns heartbeats to entries of other data centres.
-func (s *Sync) farewell() []Send {
-	var sends []Send
-	for _, p := range s.far() {
-		sends = append(sends, Send{To: p.address, Notice: s.beat(false)})
-	}
-	return sends
+	return address(append(s.near(), s.far()...), s.brief(nil))
 }
 
 // Paused forgets what a pause has made uncertain: how new the catalog is.
@@ -117,7 +118,12 @@
 	s.merger.Apply(changes, now)
 	s.confirmed = max(s.confirmed, asked)
 	s.failing = false
-	return s.tell(before)
+	sends := s.tell(before)
+	if len(sends) == 0 && s.nearCount > s.policy.Round {
+		// Rounds would tell some peers too late that the catalog is the newest.
+		sends = address(s.near(), s.brief(nil))
+	}
+	return sends
 }
 
 // Failed notes that the store could not be read.
@@ -191,13 +197,17 @@
 		s.sought = now
 		sends = append(sends, s.seek()...)
 	}
-	return append(sends, s.beats(now, false)...)
+	return append(sends, s.beats(now)...)
 }
 
-// Urge returns heartbeats at once, for news that others can use.
-func (s *Sync) Urge(now time.Duration) []Send {
+// Urge returns heartbeats with loads that others can use at once.
+func (s *Sync) Urge(loads []agateload.Load, now time.Duration) []Send {
 	s.now = now
-	return s.beats(now, true)
+	if len(loads) == 0 || now-s.urged < s.policy.Beat/2 {
+		return nil
+	}
+	s.urged = now
+	return address(s.near(), s.brief(loads))
 }
 
 // Receive takes in a notice and returns what is to be sent.
--- a/entry/process/agatedirect/direct.go
+++ b/entry/process/agatedirect/direct.go
@@ -189,8 +189,8 @@
 				d.readiness.Set(true)
 			}
 		},
-		Loads: func(from string, loads []agateload.Load) {
-			forwarder.Reports().Put(agateforwarder.Report{From: from, Loads: loads})
+		Loads: func(from string, loads []agateload.Load, partial bool) {
+			forwarder.Reports().Put(agateforwarder.Report{From: from, Loads: loads, Partial: partial})
 		},
 	}
 }
--- a/entry/process/agateforwarder/forwarder.go
+++ b/entry/process/agateforwarder/forwarder.go
@@ -60,8 +60,9 @@
 type Report struct {
 	// From names the other entry's VM.
 	From string
-	// Loads are the servers.
-	Loads []agateload.Load
+	// Loads are the servers. Partial says that others have not changed.
+	Loads   []agateload.Load
+	Partial bool
 }
 
 // packet is the memory of one datagram.
@@ -171,7 +172,7 @@
 		case u := <-f.updates.Items():
 			f.update(u)
 		case r := <-f.reports.Items():
-			f.steerer.Report(r.From, r.Loads, f.now())
+			f.steerer.Report(r.From, r.Loads, r.Partial, f.now())
 		case <-ticker.C:
 			f.tick()
 		}
@@ -199,7 +200,7 @@
 	}
 	f.flush()
 	if f.steerer.TakeUrgent() {
-		f.share(f.steerer.Loads(f.now()), true)
+		f.share(f.steerer.Suspicions(f.now()), true)
 	}
 }
 
--- a/entry/process/agatekeeper/keeper.go
+++ b/entry/process/agatekeeper/keeper.go
@@ -23,7 +23,7 @@
 
 const (
 	// tick is the time between two looks at what falls due.
-	tick = 50 * time.Millisecond
+	tick = 100 * time.Millisecond
 	// pauseLimit is the longest time between two ticks that is no pause of the
 	// process. A slow VM of a twentieth of a core is late by less.
 	pauseLimit = time.Second
@@ -58,7 +58,7 @@
 	// View takes a newer catalog, or the news that it is still the newest.
 	View func(View)
 	// Loads takes what another entry has seen of servers.
-	Loads func(from string, loads []agateload.Load)
+	Loads func(from string, loads []agateload.Load, partial bool)
 }
 
 // Keeper owns the sync of an entry.
@@ -92,7 +92,7 @@
 type Loads struct {
 	// List holds the servers.
 	List []agateload.Load
-	// Urgent says that others should know at once.
+	// Urgent says that others should know of these at once.
 	Urgent bool
 }
 
@@ -120,7 +120,7 @@
 		sync: sync, reader: reader, timing: timing, handlers: handlers, log: log,
 		outbox:  agatesocket.NewOutbox(socket, batch, 0),
 		notices: agatering.New[received](queue),
-		loads:   agatering.New[Loads](1),
+		loads:   agatering.New[Loads](2),
 		pause:   agatepause.New(pauseLimit),
 		started: started, retry: timing.RetryMin,
 		leave: make(chan struct{}, 1),
@@ -195,16 +195,17 @@
 func (k *Keeper) receive(r received) {
 	k.send(k.sync.Receive(r.from, r.notice, k.now()))
 	if b := r.notice.Beat; b != nil && len(b.Loads) > 0 {
-		k.handlers.Loads(b.Name, b.Loads)
+		k.handlers.Loads(b.Name, b.Loads, b.Partial)
 	}
 }
 
 // takeLoads takes in what this entry has seen of servers.
 func (k *Keeper) takeLoads(l Loads) {
-	k.sync.SetLoads(l.List)
 	if l.Urgent {
-		k.send(k.sync.Urge(k.now()))
+		k.send(k.sync.Urge(l.List, k.now()))
+		return
 	}
+	k.sync.SetLoads(l.List)
 }
 
 // read begins a read of the store if one is due, and ends one that is stuck.
