--- /dev/null
+++ b/core/process/agatenotice/notice_test.go
@@ -0,0 +1,115 @@
+package agatenotice_test
+
+import (
+	"errors"
+	"net/netip"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"agatereach/core/process/agatenotice"
+	"agatereach/core/request/agateload"
+	"agatereach/core/version/agateinstance"
+	"agatereach/core/version/agatevip"
+)
+
+var address = netip.MustParseAddrPort("10.0.0.1:7720")
+
+func beat() *agatenotice.Beat {
+	return &agatenotice.Beat{
+		Name: "vm-1", Centre: "a", Boot: 7, Version: 3, Revision: 9, Digest: 5, Confirmed: 12,
+		Peers: []netip.AddrPort{address}, Loads: []agateload.Load{{Token: 4, Waiting: 150, Open: 2, Heard: 3, Missed: 1, Since: 200}},
+	}
+}
+
+func page() *agatenotice.Page {
+	return &agatenotice.Page{From: 1, To: 4, Index: 1, Total: 3, Instances: []agateinstance.Instance{{
+		Key: agateinstance.Key{ID: 1 << 40, Born: 1700000000000}, Revision: 4, Service: "map", Centre: "a", Slots: 3,
+		State: agateinstance.Draining, Address: address,
+	}}}
+}
+
+func part() *agatenotice.Part {
+	return &agatenotice.Part{Version: 2, Index: 0, Total: 1, VIPs: []agatevip.VIP{{
+		Name: "feeds", Address: address, Kind: agatevip.Idempotent, Shares: []agatevip.Share{{Service: "map", Weight: 1}},
+	}}}
+}
+
+func TestRoundTrip(t *testing.T) {
+	for _, n := range []agatenotice.Notice{
+		{Beat: beat()}, {Ask: &agatenotice.Ask{After: 4, Version: 2}}, {Page: page()}, {Part: part()},
+	} {
+		datagram, err := n.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := agatenotice.Decode(datagram)
+		if err != nil || !reflect.DeepEqual(got, n) {
+			t.Errorf("%+v, %v", got, err)
+		}
+	}
+}
+
+// TestCheck refuses notices that break an invariant.
+func TestCheck(t *testing.T) {
+	spoilt := func(spoil func(*agatenotice.Notice)) agatenotice.Notice {
+		n := agatenotice.Notice{Beat: beat(), Page: page(), Part: part()}
+		spoil(&n)
+		return n
+	}
+	for name, n := range map[string]agatenotice.Notice{
+		"nothing":    {},
+		"two":        {Beat: beat(), Ask: &agatenotice.Ask{}},
+		"no name":    spoilt(func(n *agatenotice.Notice) { n.Page, n.Part, n.Beat.Name = nil, nil, "" }),
+		"no boot":    spoilt(func(n *agatenotice.Notice) { n.Page, n.Part, n.Beat.Boot = nil, nil, 0 }),
+		"bad peer":   spoilt(func(n *agatenotice.Notice) { n.Page, n.Part, n.Beat.Peers[0] = nil, nil, netip.AddrPort{} }),
+		"index":      spoilt(func(n *agatenotice.Notice) { n.Beat, n.Part, n.Page.Index = nil, nil, 3 }),
+		"backwards":  spoilt(func(n *agatenotice.Notice) { n.Beat, n.Part, n.Page.To = nil, nil, 0 }),
+		"instance":   spoilt(func(n *agatenotice.Notice) { n.Beat, n.Part, n.Page.Instances[0].Slots = nil, nil, 0 }),
+		"no version": spoilt(func(n *agatenotice.Notice) { n.Beat, n.Page, n.Part.Version = nil, nil, 0 }),
+		"vip":        spoilt(func(n *agatenotice.Notice) { n.Beat, n.Page, n.Part.VIPs[0].Kind = nil, nil, "any" }),
+		"ask":        {Ask: &agatenotice.Ask{After: -1}},
+	} {
+		datagram, err := n.Encode()
+		if err != nil {
+			t.Fatal(name, err)
+		}
+		if _, err := agatenotice.Decode(datagram); err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+	var field *agatenotice.FieldError
+	if _, err := agatenotice.Decode(make([]byte, agatenotice.MaxSize+1)); !errors.As(err, &field) {
+		t.Errorf("too long: %v", err)
+	}
+}
+
+// TestAnyDatagram decodes any bytes without failing otherwise than by an error.
+func TestAnyDatagram(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if _, err := agatenotice.Decode(rapid.SliceOf(rapid.Byte()).Draw(t, "datagram")); err != nil && err.Error() == "" {
+			t.Fatal("an error without a text")
+		}
+	})
+}
+
+// FuzzDecode decodes what begins as a valid notice.
+func FuzzDecode(f *testing.F) {
+	for _, n := range []agatenotice.Notice{{Beat: beat()}, {Page: page()}, {Part: part()}} {
+		datagram, err := n.Encode()
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(datagram)
+	}
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		n, err := agatenotice.Decode(datagram)
+		if err != nil {
+			return
+		}
+		if _, err := n.Encode(); err != nil {
+			t.Errorf("decoded, but not encoded: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/core/process/agatepick/pick_test.go
@@ -0,0 +1,87 @@
+package agatepick_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"agatereach/core/process/agatepick"
+)
+
+var policy = agatepick.Policy{Distance: 0.5, MaxSilent: 0.5}
+
+func first() float64 { return 0 }
+
+func TestPick(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		candidates []agatepick.Candidate
+		want       int
+	}{
+		{"none", nil, -1},
+		{"less load", []agatepick.Candidate{{Load: 2, Capacity: 3}, {Load: 1, Capacity: 3}}, 1},
+		{"more capacity", []agatepick.Candidate{{Load: 1, Capacity: 2}, {Load: 1, Capacity: 8}}, 1},
+		{"own data centre", []agatepick.Candidate{{Capacity: 3, Remote: true}, {Load: 1, Capacity: 3}}, 1},
+		{"spill", []agatepick.Candidate{{Capacity: 3, Remote: true}, {Load: 3, Capacity: 3}}, 0},
+		{"silent", []agatepick.Candidate{{Capacity: 3, Silent: true}, {Load: 5, Capacity: 3}, {Load: 4, Capacity: 3}}, 2},
+		{"tried", []agatepick.Candidate{{Capacity: 3, Tried: true}, {Load: 5, Capacity: 3}}, 1},
+		{"all tried", []agatepick.Candidate{{Load: 1, Capacity: 3, Tried: true}, {Capacity: 3, Tried: true}}, 1},
+		{"only silent", []agatepick.Candidate{{Capacity: 3, Silent: true}}, 0},
+		{"too many silent", []agatepick.Candidate{{Capacity: 3, Silent: true}, {Load: 1, Capacity: 3, Silent: true}, {Load: 2, Capacity: 3}}, 0},
+		{"other data centre silent", []agatepick.Candidate{
+			{Capacity: 3, Silent: true, Remote: true}, {Capacity: 3, Silent: true, Remote: true}, {Load: 9, Capacity: 3},
+		}, 2},
+	} {
+		if got := policy.Pick(c.candidates, first); got != c.want {
+			t.Errorf("%s: %d, want %d", c.name, got, c.want)
+		}
+	}
+}
+
+// TestBound draws candidates: one is chosen whenever there is one, and a silent
+// one only if the silent ones are too many or nothing else is left.
+func TestBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var candidates []agatepick.Candidate
+		local, silent, spoken := 0, 0, 0
+		for range rapid.IntRange(1, 12).Draw(t, "candidates") {
+			c := agatepick.Candidate{
+				Load: rapid.Float64Range(0, 20).Draw(t, "load"), Capacity: rapid.Float64Range(0.1, 9).Draw(t, "capacity"),
+				Remote: rapid.Bool().Draw(t, "remote"), Silent: rapid.Bool().Draw(t, "silent"), Tried: rapid.Bool().Draw(t, "tried"),
+			}
+			candidates = append(candidates, c)
+			if !c.Remote {
+				local++
+				if c.Silent {
+					silent++
+				}
+			}
+			if !c.Silent {
+				spoken++
+			}
+		}
+		got := policy.Pick(candidates, func() float64 { return rapid.Float64Range(0, 0.99).Draw(t, "random") })
+		if got < 0 || got >= len(candidates) {
+			t.Fatalf("place %d", got)
+		}
+		excess := float64(silent) > policy.MaxSilent*float64(local)
+		if candidates[got].Silent && spoken > 0 && !excess {
+			t.Fatal("a silent server was chosen")
+		}
+		if candidates[got].Silent && candidates[got].Remote && spoken > 0 {
+			t.Fatal("a silent server of another data centre was chosen")
+		}
+	})
+}
+
+// BenchmarkPick chooses among the servers of a service.
+func BenchmarkPick(b *testing.B) {
+	candidates := make([]agatepick.Candidate, 120)
+	for i := range candidates {
+		candidates[i] = agatepick.Candidate{Load: float64(i*7%13) / 4, Capacity: 3, Remote: i%3 > 0}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		policy.Pick(candidates, first)
+	}
+}
--- a/core/process/agatesetup/setup.go
+++ b/core/process/agatesetup/setup.go
@@ -33,6 +33,9 @@
 	// Links is where other entries' datagrams arrive, over UDP. It has the same
 	// port on every VM.
 	Links netip.AddrPort `toml:"links"`
+	// Inspect is where metrics and the state are served, over HTTP; invalid for
+	// nowhere.
+	Inspect netip.AddrPort `toml:"inspect"`
 	// Seeds are entries that a process asks for others. Only their IP
 	// addresses count; some may be wrong or down.
 	Seeds []netip.AddrPort `toml:"seeds"`
@@ -158,6 +161,13 @@
 	return faults
 }
 
+// WithSeeds returns the settings with other seeds.
+func (s *Setup) WithSeeds(seeds []netip.AddrPort) *Setup {
+	next := *s
+	next.Seeds = seeds
+	return &next
+}
+
 // HeartbeatTime returns the time between two writes of a registration.
 func (s *Setup) HeartbeatTime() time.Duration { return time.Duration(s.Heartbeat) * time.Millisecond }
 
--- /dev/null
+++ b/core/process/agatesetup/setup_test.go
@@ -0,0 +1,75 @@
+package agatesetup_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"agatereach/core/process/agatesetup"
+)
+
+const valid = `name = "vm-1"
+centre = "a"
+packets = "10.1.0.10:8172"
+ready = "10.1.0.10:8167"
+links = "10.1.0.10:7720"
+seeds = ["10.1.0.10:8166", "10.2.0.40:8166"]
+store = "10.200.1.7:8169"
+memory = 284
+heartbeat = 1200
+later = "a setting that is not known yet"
+
+[bounds]
+config = 3000
+drain = 3000
+grace = 6
+lifetime = 60
+`
+
+func TestLoad(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.toml")
+	if err := os.WriteFile(path, []byte(valid), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, err := agatesetup.Load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Name != "vm-1" || len(s.Seeds) != 2 || s.Bounds.GraceTime().Seconds() != 6 || s.HeartbeatTime().Milliseconds() != 1200 {
+		t.Errorf("%+v", s)
+	}
+}
+
+// TestFaults lists all faults at once, each with its key.
+func TestFaults(t *testing.T) {
+	_, err := agatesetup.Parse("x", []byte("memory = -1\npackets = \"[::1]:5\"\n"))
+	var faults *agatesetup.FaultsError
+	if !errors.As(err, &faults) {
+		t.Fatal(err)
+	}
+	for _, key := range []string{"name", "centre", "packets", "ready", "links", "store", "memory", "heartbeat", "bounds.config", "bounds.drain", "bounds.grace", "bounds.lifetime"} {
+		if !strings.Contains(err.Error(), key+" must") {
+			t.Errorf("no fault of %s in %q", key, err)
+		}
+	}
+}
+
+func TestSyntax(t *testing.T) {
+	for text, row := range map[string]int{"name = ": 1, "name = \"a\"\nmemory = \"much\"": 2, "packets = \"nowhere\"": 1} {
+		_, err := agatesetup.Parse("x", []byte(text))
+		var syntax *agatesetup.SyntaxError
+		if !errors.As(err, &syntax) || syntax.Row != row {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
+
+func TestMissing(t *testing.T) {
+	_, err := agatesetup.Load(filepath.Join(t.TempDir(), "none"))
+	var missing *agatesetup.ReadError
+	if !errors.As(err, &missing) || !errors.Is(err, os.ErrNotExist) {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/core/process/agatesilence/silence_test.go
@@ -0,0 +1,128 @@
+package agatesilence_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"agatereach/core/process/agatesilence"
+)
+
+const ms = time.Millisecond
+
+var policy = agatesilence.Policy{Suspect: 2, Confirm: 3, Patience: 350 * ms, Retry: time.Second, RetryMax: 4 * time.Second}
+
+// TestOneFlow lets one flow miss its answer again and again: that is no proof.
+func TestOneFlow(t *testing.T) {
+	var w agatesilence.Watch
+	for i := range 20 {
+		w.Missed(7, 100*ms, time.Duration(200+i*200)*ms)
+	}
+	if w.Suspected(policy) || w.Confirmed(policy, time.Minute) {
+		t.Error("one flow is taken as a proof")
+	}
+}
+
+// TestQuick lets several flows miss their answers: the server is suspected with
+// the second one, and confirmed with the third once it has been silent for long
+// enough.
+func TestQuick(t *testing.T) {
+	var w agatesilence.Watch
+	w.Seen(time.Second)
+	w.Missed(1, 1010*ms, 1210*ms)
+	w.Missed(2, 1050*ms, 1250*ms)
+	if !w.Suspected(policy) || w.Confirmed(policy, 1250*ms) {
+		t.Error("two flows")
+	}
+	w.Missed(3, 1100*ms, 1300*ms)
+	if w.Confirmed(policy, 1349*ms) || !w.Confirmed(policy, 1350*ms) {
+		t.Error("three flows")
+	}
+	w.Seen(1400 * ms)
+	if w.Suspected(policy) || w.Confirmed(policy, time.Minute) {
+		t.Error("a sign of life has not cleared the server")
+	}
+}
+
+// TestLate ignores a segment sent before the last sign of life.
+func TestLate(t *testing.T) {
+	var w agatesilence.Watch
+	w.Seen(time.Second)
+	w.Missed(1, time.Second, 1200*ms)
+	w.Missed(2, 900*ms, 1200*ms)
+	w.Report(5, 900*ms)
+	if flows, _ := w.Missing(); flows != 0 {
+		t.Errorf("%d flows", flows)
+	}
+}
+
+// TestOthers adds what other entries report, which never counts as seen here.
+func TestOthers(t *testing.T) {
+	var w agatesilence.Watch
+	w.Seen(time.Second)
+	w.Missed(1, 1100*ms, 1300*ms)
+	w.Report(2, 1050*ms)
+	if flows, since := w.Missing(); flows != 3 || since != 1050*ms {
+		t.Errorf("%d flows since %s", flows, since)
+	}
+	if flows, _ := w.Own(); flows != 1 {
+		t.Errorf("%d own flows", flows)
+	}
+	w.Heard(2 * time.Second)
+	if w.LastSeen() != time.Second || w.LastHeard() != 2*time.Second {
+		t.Errorf("seen %s, heard %s", w.LastSeen(), w.LastHeard())
+	}
+	if flows, _ := w.Missing(); flows != 0 {
+		t.Errorf("%d flows after another entry heard it", flows)
+	}
+}
+
+// TestTrials spaces the trials of several entries.
+func TestTrials(t *testing.T) {
+	var w agatesilence.Watch
+	w.Missed(1, 100*ms, 300*ms)
+	for _, c := range []struct {
+		others int
+		want   time.Duration
+	}{{0, time.Second}, {2, 3 * time.Second}, {50, 4 * time.Second}} {
+		if w.Due(policy, c.others, 300*ms+c.want-ms) || !w.Due(policy, c.others, 300*ms+c.want) {
+			t.Errorf("%d others: not due after %s", c.others, c.want)
+		}
+	}
+	w.Tried(5 * time.Second)
+	if w.Due(policy, 0, 5*time.Second+500*ms) {
+		t.Error("due again at once")
+	}
+}
+
+// TestAnyOrder draws events: a server is suspected only if enough flows have
+// missed answers since its last sign of life.
+func TestAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var w agatesilence.Watch
+		missed := make(map[uint64]time.Duration)
+		var heard time.Duration
+		for now := time.Second; now < 3*time.Second; now += 100 * ms {
+			switch rapid.IntRange(0, 2).Draw(t, "event") {
+			case 0:
+				heard = now
+				w.Seen(now)
+			case 1:
+				flow := rapid.Uint64Range(1, 4).Draw(t, "flow")
+				since := now - time.Duration(rapid.IntRange(0, 600).Draw(t, "ms"))*ms
+				missed[flow] = max(missed[flow], since)
+				w.Missed(flow, since, now)
+			}
+			after := 0
+			for _, since := range missed {
+				if since > heard {
+					after++
+				}
+			}
+			if w.Suspected(policy) && after < policy.Suspect {
+				t.Fatalf("suspected by %d flows", after)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/core/process/agatesteer/dump.go
@@ -0,0 +1,29 @@
+package agatesteer
+
+import (
+	"time"
+
+	"agatereach/core/process/agatedump"
+)
+
+// Dump adds to a dump what the steerer knows.
+func (s *Steerer) Dump(d *agatedump.Dump, now time.Duration) {
+	d.Flows = s.flows.Len()
+	d.Servers = make([]agatedump.Server, 0, len(s.servers))
+	for _, instance := range s.catalog.Instances() {
+		if known := s.servers[instance.Key]; known != nil {
+			d.Servers = append(d.Servers, s.dumpServer(known, now))
+		}
+	}
+}
+
+func (s *Steerer) dumpServer(known *server, now time.Duration) agatedump.Server {
+	missed, _ := known.silence.Missing()
+	return agatedump.Server{
+		ID: known.instance.ID, Born: known.instance.Born, Service: known.instance.Service,
+		Address: known.instance.Address, Centre: known.instance.Centre, State: known.instance.State,
+		Waiting: len(known.waiting) + len(known.opening), Open: known.open, Others: known.reported.waiting,
+		Silent: s.unreachable(known) || known.silence.Suspected(s.policy.Silence),
+		Missed: missed, Heard: agatedump.Since(known.silence.LastHeard(), now),
+	}
+}
--- a/core/process/agatesteer/steer_test.go
+++ b/core/process/agatesteer/steer_test.go
@@ -154,7 +154,6 @@
 	return c.send(agatesegment.Segment{Sequence: c.sequence, Acknowledged: c.acknowledged, Flags: agatesegment.ACK, Token: c.token})
 }
 
-
 // TestFlowKeepsItsServer sends segments of a flow while servers come and drain:
 // each reaches the flow's own server, also through an entry that has just
 // started.
--- a/core/process/agatesteer/verdict.go
+++ b/core/process/agatesteer/verdict.go
@@ -50,6 +50,11 @@
 	Stray Reason = "stray"
 )
 
+// Reasons returns all reasons.
+func Reasons() []Reason {
+	return []Reason{Placed, Moved, Held, NoRoute, NoServer, OldView, Foreign, Collision, Ended, Silent, Stray}
+}
+
 // Verdict is what is done with a segment.
 type Verdict struct {
 	// Action says what is done.
--- /dev/null
+++ b/core/process/agatesync/dump.go
@@ -0,0 +1,25 @@
+package agatesync
+
+import (
+	"time"
+
+	"agatereach/core/process/agatedump"
+)
+
+// Dump returns a dump with what the sync knows.
+func (s *Sync) Dump(now time.Duration) agatedump.Dump {
+	catalog := s.Catalog()
+	d := agatedump.Dump{
+		VM: s.self.Name, Centre: s.self.Centre, Boot: s.self.Boot,
+		Version: catalog.Version(), Revision: catalog.Revision(),
+		Age: agatedump.Since(s.confirmed, now), Reading: s.Due(now), Failing: s.failing,
+		Peers: make([]agatedump.Peer, 0, len(s.peers)),
+	}
+	for _, p := range s.sortedPeers() {
+		d.Peers = append(d.Peers, agatedump.Peer{
+			Name: p.name, Centre: p.centre, Address: p.address,
+			Heard: agatedump.Since(p.heard, now), Failing: p.failing,
+		})
+	}
+	return d
+}
--- a/core/process/agatesync/peer.go
+++ b/core/process/agatesync/peer.go
@@ -1,7 +1,9 @@
 package agatesync
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -57,7 +59,7 @@
 	own := xxhash.Sum64String(s.self.Name)
 	quiet := max(s.policy.Quiet, 3*s.cycle())
 	rank := 0
-	for _, p := range s.peers {
+	for _, p := range s.sortedPeers() {
 		reads := p.live() && !p.failing && now-p.heard <= quiet
 		if reads && p.centre == s.self.Centre && p.hash > own {
 			rank++
@@ -69,7 +71,7 @@
 // near returns the peers of the own data centre that get heartbeats and pages.
 func (s *Sync) near() []*peer {
 	var peers []*peer
-	for _, p := range s.peers {
+	for _, p := range s.sortedPeers() {
 		if p.live() && p.centre == s.self.Centre {
 			peers = append(peers, p)
 		}
@@ -80,22 +82,38 @@
 // far returns some peers of each other data centre.
 func (s *Sync) far() []*peer {
 	centres := make(map[string][]*peer)
-	for _, p := range s.peers {
+	for _, p := range s.sortedPeers() {
 		if p.live() && p.centre != s.self.Centre {
 			centres[p.centre] = append(centres[p.centre], p)
 		}
 	}
 	var chosen []*peer
-	for _, peers := range centres {
-		chosen = append(chosen, s.sample(peers, s.policy.Far)...)
+	for _, centre := range slices.Sorted(maps.Keys(centres)) {
+		chosen = append(chosen, s.sample(centres[centre], s.policy.Far)...)
 	}
-	order(chosen)
 	return chosen
 }
 
+// sortedPeers returns the peers in the order of their addresses. The slice must
+// not be changed.
+func (s *Sync) sortedPeers() []*peer {
+	if len(s.sorted) != len(s.peers) {
+		s.sorted = slices.SortedFunc(maps.Values(s.peers), func(a, b *peer) int {
+			return a.address.Compare(b.address)
+		})
+	}
+	return s.sorted
+}
+
+// forget drops a peer.
+func (s *Sync) forget(address netip.AddrPort) {
+	s.ranked = 0
+	s.sorted = nil
+	delete(s.peers, address)
+}
+
 // sample returns up to limit of the peers, drawn evenly.
 func (s *Sync) sample(peers []*peer, limit int) []*peer {
-	order(peers)
 	if len(peers) <= limit {
 		return peers
 	}
@@ -123,8 +141,7 @@
 			limit = s.policy.ExpireFar
 		}
 		if now-max(p.heard, p.tried) > limit {
-			s.ranked = 0
-			delete(s.peers, address)
+			s.forget(address)
 		}
 	}
 }
@@ -164,7 +181,6 @@
 	if len(peers) <= s.policy.Round {
 		return peers
 	}
-	order(peers)
 	turn := make([]*peer, s.policy.Round)
 	for i := range turn {
 		turn[i] = peers[(s.turn+i)%len(peers)]
@@ -236,16 +252,15 @@
 	return agateload.Age(s.now - s.confirmed)
 }
 
-// someLive returns addresses of some live peers, in the order of the map, which
-// differs each time.
+// someLive returns addresses of some live peers, from a drawn place on.
 func (s *Sync) someLive() []netip.AddrPort {
+	peers := s.sortedPeers()
+	first := int(s.random() * float64(len(peers)))
 	addresses := make([]netip.AddrPort, 0, sharedPeers)
-	for address, p := range s.peers {
-		if len(addresses) == sharedPeers {
-			break
-		}
-		if p.live() {
-			addresses = append(addresses, address)
+	for i := range peers {
+		p := peers[(first+i)%len(peers)]
+		if p.live() && len(addresses) < sharedPeers {
+			addresses = append(addresses, p.address)
 		}
 	}
 	return addresses
@@ -257,8 +272,7 @@
 		return nil
 	}
 	if b.Leaving {
-		s.ranked = 0
-		delete(s.peers, from)
+		s.forget(from)
 		return nil
 	}
 	p := s.meet(from)
@@ -288,6 +302,7 @@
 	}
 	p := &peer{address: address}
 	s.peers[address] = p
+	s.sorted = nil
 	return p
 }
 
--- a/core/process/agatesync/sync.go
+++ b/core/process/agatesync/sync.go
@@ -4,7 +4,6 @@
 package agatesync
 
 import (
-	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -42,6 +41,8 @@
 	random func() float64
 	// peers are the other entries by the address of their notices.
 	peers map[netip.AddrPort]*peer
+	// sorted are the peers by address; of another length when it is outdated.
+	sorted []*peer
 	// seeds are addresses to ask for others.
 	seeds  []netip.AddrPort
 	sought time.Duration
@@ -94,6 +95,9 @@
 // never.
 func (s *Sync) Confirmed() time.Duration { return s.confirmed }
 
+// Peers returns the number of other entries that are known.
+func (s *Sync) Peers() int { return len(s.peers) }
+
 // SetLoads takes what the entry has seen of servers.
 func (s *Sync) SetLoads(loads []agateload.Load) { s.loads = loads }
 
@@ -254,13 +258,3 @@
 		return i.Revision <= after
 	})
 }
-
-// order sorts peers by address, for a choice that repeats.
-func order(peers []*peer) {
-	slices.SortFunc(peers, func(a, b *peer) int {
-		if c := a.address.Addr().Compare(b.address.Addr()); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.address.Port(), b.address.Port())
-	})
-}
--- /dev/null
+++ b/core/version/agateinstance/instance_test.go
@@ -0,0 +1,57 @@
+package agateinstance_test
+
+import (
+	"errors"
+	"net/netip"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"agatereach/core/version/agateinstance"
+)
+
+func valid() agateinstance.Instance {
+	return agateinstance.Instance{
+		Key: agateinstance.Key{ID: 1, Born: 1}, Revision: 1, Service: "map", Centre: "a", Slots: 3,
+		State: agateinstance.Ready, Address: netip.MustParseAddrPort("10.0.0.1:80"),
+	}
+}
+
+func TestCheck(t *testing.T) {
+	if err := valid().Check(); err != nil {
+		t.Error(err)
+	}
+	for field, spoil := range map[string]func(*agateinstance.Instance){
+		"service":  func(i *agateinstance.Instance) { i.Service = "" },
+		"address":  func(i *agateinstance.Instance) { i.Address = netip.MustParseAddrPort("[::1]:80") },
+		"slots":    func(i *agateinstance.Instance) { i.Slots = 0 },
+		"state":    func(i *agateinstance.Instance) { i.State = "sleepy" },
+		"cold":     func(i *agateinstance.Instance) { i.Cold = -1 },
+		"revision": func(i *agateinstance.Instance) { i.Revision = 0 },
+	} {
+		spoilt := valid()
+		spoil(&spoilt)
+		var fault *agateinstance.FieldError
+		if err := spoilt.Check(); !errors.As(err, &fault) || fault.Field != field {
+			t.Errorf("%s: %v", field, err)
+		}
+	}
+}
+
+// TestToken draws keys and salts: a token is never 0, is the same each time, and
+// is known as the key's own.
+func TestToken(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		key := agateinstance.Key{ID: rapid.Uint64().Draw(t, "id"), Born: rapid.Int64().Draw(t, "born")}
+		salt := rapid.Uint32Range(0, agateinstance.TokenSalts-1).Draw(t, "salt")
+		token := key.Token(salt)
+		if token == 0 || token != key.Token(salt) || !key.Has(token) {
+			t.Fatalf("token %x", token)
+		}
+		next := key
+		next.Born++
+		if next.Has(token) {
+			t.Fatalf("the next incarnation has token %x too", token)
+		}
+	})
+}
--- a/entry/process/agatedirect/direct.go
+++ b/entry/process/agatedirect/direct.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -17,15 +18,19 @@
 	"golang.org/x/sync/errgroup"
 
 	"agatereach/core/connection/agatesocket"
+	"agatereach/core/process/agatedump"
 	"agatereach/core/process/agatemerge"
 	"agatereach/core/process/agatesetup"
 	"agatereach/core/process/agatesteer"
 	"agatereach/core/process/agatesync"
 	"agatereach/core/request/agateload"
 	"agatereach/entry/connection/agatereceiver"
+	"agatereach/entry/process/agateendpoint"
 	"agatereach/entry/process/agateforwarder"
+	"agatereach/entry/process/agateinspect"
 	"agatereach/entry/process/agatekeeper"
 	"agatereach/entry/process/agatelogsink"
+	"agatereach/entry/process/agatemeter"
 	"agatereach/entry/process/agatereadiness"
 	"agatereach/entry/process/agatestorereader"
 )
@@ -40,26 +45,39 @@
 	graceMargin = time.Second
 	// stopCheck is the time between two looks at whether packets still come.
 	stopCheck = 100 * time.Millisecond
+	// settingsCheck is the time between two looks at whether the settings have
+	// changed without a signal. A look reads one small file.
+	settingsCheck = 5 * time.Second
 	// flowsPerMB is the number of flows followed for each MB of memory: a
 	// quarter of it at 256 bytes a flow.
 	flowsPerMB = (1 << 20) / 4 / 256
 )
 
+// Load reads the settings, at the start and whenever they may have changed.
+type Load func() (*agatesetup.Setup, error)
+
 // Direct is an entry process.
 type Direct struct {
+	// setup holds the settings of the start, of which only the seeds are
+	// replaced while the process runs.
 	setup     *agatesetup.Setup
+	load      Load
 	codec     agateforwarder.Codec
 	source    agatestorereader.Source
 	readiness agatereadiness.Readiness
+	meter     *agatemeter.Meter
 	stopping  atomic.Bool
 	sink      *agatelogsink.Sink
 	log       *slog.Logger
 }
 
 // New returns a process that reads packets by codec and the store by source, and
-// logs to log, which writes to sink.
-func New(setup *agatesetup.Setup, codec agateforwarder.Codec, source agatestorereader.Source, sink *agatelogsink.Sink, log *slog.Logger) *Direct {
-	return &Direct{setup: setup, codec: codec, source: source, sink: sink, log: log}
+// logs to log, which writes to sink. load reads its settings again.
+func New(setup *agatesetup.Setup, load Load, codec agateforwarder.Codec, source agatestorereader.Source, sink *agatelogsink.Sink, log *slog.Logger) *Direct {
+	return &Direct{
+		setup: setup, load: load, codec: codec, source: source,
+		meter: agatemeter.New(sink.Dropped), sink: sink, log: log,
+	}
 }
 
 // Run serves until a signal to stop, and returns once the log is written.
@@ -89,7 +107,7 @@
 		return err
 	}
 	defer cleanup()
-	serveReady, err := d.readiness.Listen(ctx, d.setup.Ready)
+	ready, err := agateendpoint.New(ctx, d.setup.Ready, &d.readiness)
 	if err != nil {
 		return err
 	}
@@ -99,11 +117,15 @@
 	}
 	defer cleanupLinks()
 	p := d.parts(ctx, socket, links)
+	inspect, err := d.inspect(ctx, p)
+	if err != nil {
+		return err
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	for _, run := range []func(context.Context) error{
 		agatereceiver.New(socket, p.forwarder, receiveBatch).Run,
 		agatereceiver.New(links, p.keeper, receiveBatch).Run,
-		p.forwarder.Run, p.keeper.Run, p.reader.Run, serveReady,
+		p.forwarder.Run, p.keeper.Run, p.reader.Run, ready.Run, inspect,
 	} {
 		group.Go(func() error { return run(ctx) })
 	}
@@ -160,21 +182,42 @@
 	// The clock starts above 0, which means never.
 	started := time.Now().Add(-time.Second)
 	self := agatesync.Self{Name: d.setup.Name, Centre: d.setup.Centre, Address: d.setup.Links, Boot: rand.Uint64() | 1}
-	sync := agatesync.New(self, d.seeds(), agatesync.DefaultPolicy(d.bound()), agatemerge.New(d.merging()), rand.Float64)
+	sync := agatesync.New(self, d.seeds(d.setup), agatesync.DefaultPolicy(d.bound()), agatemerge.New(d.merging()), rand.Float64)
 	var p parts
 	p.reader = agatestorereader.New(d.source)
 	share := func(loads []agateload.Load, urgent bool) {
 		p.keeper.Loads().Put(agatekeeper.Loads{List: loads, Urgent: urgent})
 	}
-	p.forwarder = agateforwarder.New(d.policy(), d.setup.Centre, d.codec, socket, share, d.log)
-	p.keeper = agatekeeper.New(sync, started, p.reader, links, d.timing(), d.handlers(ctx, p.forwarder), d.log)
+	p.forwarder = agateforwarder.New(d.policy(), d.setup.Centre, d.codec, socket, share, d.meter, d.log)
+	p.keeper = agatekeeper.New(sync, started, p.reader, links, d.timing(), d.handlers(ctx, p.forwarder), d.meter, d.log)
 	return p
 }
 
+// inspect returns a function that serves metrics and the state, if the settings
+// say where.
+func (d *Direct) inspect(ctx context.Context, p parts) (func(context.Context) error, error) {
+	if !d.setup.Inspect.IsValid() {
+		return func(context.Context) error { return nil }, nil
+	}
+	dump := func(ctx context.Context) (agatedump.Dump, error) {
+		dump, err := p.keeper.Dump(ctx)
+		if err != nil {
+			return dump, err
+		}
+		return dump, p.forwarder.Dump(ctx, &dump)
+	}
+	handler := agateinspect.New(d.meter.Handler(), dump, d.log)
+	endpoint, err := agateendpoint.New(ctx, d.setup.Inspect, handler)
+	if err != nil {
+		return nil, err
+	}
+	return endpoint.Run, nil
+}
+
 // seeds returns where the seeds take notices: at the port that all entries use.
-func (d *Direct) seeds() []netip.AddrPort {
-	seeds := make([]netip.AddrPort, len(d.setup.Seeds))
-	for i, seed := range d.setup.Seeds {
+func (d *Direct) seeds(s *agatesetup.Setup) []netip.AddrPort {
+	seeds := make([]netip.AddrPort, len(s.Seeds))
+	for i, seed := range s.Seeds {
 		seeds[i] = netip.AddrPortFrom(seed.Addr(), d.setup.Links.Port())
 	}
 	return seeds
@@ -195,15 +238,20 @@
 	}
 }
 
-// watch handles signals, and ends the process once no packet comes any more.
+// watch handles signals and changed settings, and ends the process once no
+// packet comes any more.
 func (d *Direct) watch(ctx context.Context, signals <-chan os.Signal, p parts, cancel func()) error {
+	ticker := time.NewTicker(settingsCheck)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-ticker.C:
+			d.reload(p, false)
 		case s := <-signals:
 			if s == syscall.SIGHUP {
-				d.log.Info("entry: settings are read at start only")
+				d.reload(p, true)
 				continue
 			}
 			d.stop(ctx, p)
@@ -213,6 +261,22 @@
 	}
 }
 
+// reload takes over changed settings. Addresses and limits hold for the life of
+// the process, which a change of them would end anyway; seeds are replaced.
+func (d *Direct) reload(p parts, asked bool) {
+	next, err := d.load()
+	switch {
+	case err != nil:
+		d.log.Warn("settings: not taken over", "error", err)
+	case !slices.Equal(next.Seeds, d.setup.Seeds):
+		d.log.Info("settings: seeds taken over", "seeds", len(next.Seeds))
+		p.keeper.Seeds().Put(d.seeds(next))
+		d.setup = d.setup.WithSeeds(next.Seeds)
+	case asked:
+		d.log.Info("settings: read again, nothing to take over")
+	}
+}
+
 // stop lets the routers move on to other entries.
 func (d *Direct) stop(ctx context.Context, p parts) {
 	d.stopping.Store(true)
--- a/entry/process/agateforwarder/forwarder.go
+++ b/entry/process/agateforwarder/forwarder.go
@@ -11,12 +11,14 @@
 	"time"
 
 	"agatereach/core/connection/agatesocket"
+	"agatereach/core/process/agatedump"
 	"agatereach/core/process/agatering"
 	"agatereach/core/process/agatesteer"
 	"agatereach/core/request/agateload"
 	"agatereach/core/request/agatesegment"
 	"agatereach/core/request/agatetuple"
 	"agatereach/core/version/agatecatalog"
+	"agatereach/entry/process/agatemeter"
 	"agatereach/entry/request/agateexplain"
 )
 
@@ -65,6 +67,12 @@
 	Partial bool
 }
 
+// dumping asks the goroutine to add to a dump.
+type dumping struct {
+	dump *agatedump.Dump
+	done chan struct{}
+}
+
 // packet is the memory of one datagram.
 type packet struct {
 	size  int
@@ -96,12 +104,15 @@
 	// were logged.
 	malformed, told uint64
 	explain         *agateexplain.Explain
-	log             *slog.Logger
+	meter           *agatemeter.Meter
+	// dumps holds the requests for the state.
+	dumps *agatering.Ring[dumping]
+	log   *slog.Logger
 }
 
 // New returns a forwarder that sends through the socket.
 // share takes what the entry has seen of servers, some ten times a second.
-func New(policy agatesteer.Policy, centre string, codec Codec, socket *agatesocket.Socket, share func([]agateload.Load, bool), log *slog.Logger) *Forwarder {
+func New(policy agatesteer.Policy, centre string, codec Codec, socket *agatesocket.Socket, share func([]agateload.Load, bool), meter *agatemeter.Meter, log *slog.Logger) *Forwarder {
 	f := &Forwarder{
 		steerer: agatesteer.New(policy, centre, rand.Float64),
 		codec:   codec,
@@ -114,6 +125,8 @@
 		// The clock starts above 0, which means never.
 		started: time.Now().Add(-time.Second),
 		explain: agateexplain.New(log, time.Now()),
+		meter:   meter,
+		dumps:   agatering.New[dumping](1),
 		log:     log,
 	}
 	return f
@@ -125,6 +138,20 @@
 // Reports returns the ring for what other entries have seen of servers.
 func (f *Forwarder) Reports() *agatering.Ring[Report] { return f.reports }
 
+// Dump adds to a dump what the steerer knows. The error is that of the context.
+func (f *Forwarder) Dump(ctx context.Context, d *agatedump.Dump) error {
+	asked := dumping{dump: d, done: make(chan struct{})}
+	if !f.dumps.Wait(ctx.Done(), asked) {
+		return ctx.Err()
+	}
+	select {
+	case <-asked.done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Idle returns the time since a caller's packet last came.
 func (f *Forwarder) Idle() time.Duration {
 	return time.Since(f.started) - time.Duration(f.last.Load())
@@ -173,6 +200,9 @@
 			f.update(u)
 		case r := <-f.reports.Items():
 			f.steerer.Report(r.From, r.Loads, r.Partial, f.now())
+		case asked := <-f.dumps.Items():
+			f.steerer.Dump(asked.dump, f.now())
+			close(asked.done)
 		case <-ticker.C:
 			f.tick()
 		}
@@ -199,6 +229,7 @@
 		break
 	}
 	f.flush()
+	f.meter.Batch(f.now()-now, f.steerer.Flows())
 	if f.steerer.TakeUrgent() {
 		f.share(f.steerer.Suspicions(f.now()), true)
 	}
@@ -220,6 +251,7 @@
 	segment, err := f.codec.Decode(datagram)
 	if err != nil {
 		f.malformed++
+		f.meter.Malformed()
 		return
 	}
 	f.carry(f.steerer.Handle(segment, now), datagram, now)
@@ -227,6 +259,7 @@
 
 // carry carries out a verdict.
 func (f *Forwarder) carry(v agatesteer.Verdict, datagram []byte, now time.Duration) {
+	f.meter.Verdict(v.Reason)
 	f.explain.Verdict(&v, f.started.Add(now))
 	switch v.Action {
 	case agatesteer.Forward:
--- a/entry/process/agatekeeper/keeper.go
+++ b/entry/process/agatekeeper/keeper.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"agatereach/core/connection/agatesocket"
+	"agatereach/core/process/agatedump"
 	"agatereach/core/process/agatenotice"
 	"agatereach/core/process/agatepause"
 	"agatereach/core/process/agatering"
@@ -18,6 +19,7 @@
 	"agatereach/core/request/agateload"
 	"agatereach/core/version/agatecatalog"
 	"agatereach/core/version/agatechange"
+	"agatereach/entry/process/agatemeter"
 	"agatereach/entry/process/agatestorereader"
 )
 
@@ -85,7 +87,11 @@
 	// published is the last view that was handed on.
 	published View
 	leave     chan struct{}
-	log       *slog.Logger
+	// dumps holds the requests for the state, seeds newer seeds.
+	dumps *agatering.Ring[chan agatedump.Dump]
+	seeds *agatering.Ring[[]netip.AddrPort]
+	meter *agatemeter.Meter
+	log   *slog.Logger
 }
 
 // Loads is what this entry has seen of servers.
@@ -115,7 +121,7 @@
 }
 
 // New returns a keeper that sends through the socket of the entry's notices.
-func New(sync *agatesync.Sync, started time.Time, reader *agatestorereader.Reader, socket *agatesocket.Socket, timing Timing, handlers Handlers, log *slog.Logger) *Keeper {
+func New(sync *agatesync.Sync, started time.Time, reader *agatestorereader.Reader, socket *agatesocket.Socket, timing Timing, handlers Handlers, meter *agatemeter.Meter, log *slog.Logger) *Keeper {
 	return &Keeper{
 		sync: sync, reader: reader, timing: timing, handlers: handlers, log: log,
 		outbox:  agatesocket.NewOutbox(socket, batch, 0),
@@ -124,6 +130,9 @@
 		pause:   agatepause.New(pauseLimit),
 		started: started, retry: timing.RetryMin,
 		leave: make(chan struct{}, 1),
+		dumps: agatering.New[chan agatedump.Dump](1),
+		seeds: agatering.New[[]netip.AddrPort](1),
+		meter: meter,
 	}
 }
 
@@ -151,6 +160,23 @@
 	}
 }
 
+// Seeds returns the ring for newer addresses of seeds.
+func (k *Keeper) Seeds() *agatering.Ring[[]netip.AddrPort] { return k.seeds }
+
+// Dump returns what the keeper knows. The error is that of the context.
+func (k *Keeper) Dump(ctx context.Context) (agatedump.Dump, error) {
+	answer := make(chan agatedump.Dump, 1)
+	if !k.dumps.Wait(ctx.Done(), answer) {
+		return agatedump.Dump{}, ctx.Err()
+	}
+	select {
+	case d := <-answer:
+		return d, nil
+	case <-ctx.Done():
+		return agatedump.Dump{}, ctx.Err()
+	}
+}
+
 // Run keeps the catalog until the context ends.
 func (k *Keeper) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tick)
@@ -167,6 +193,10 @@
 			k.takeLoads(l)
 		case result := <-k.reader.Results():
 			k.result(result)
+		case answer := <-k.dumps.Items():
+			answer <- k.sync.Dump(k.now())
+		case seeds := <-k.seeds.Items():
+			k.sync.SetSeeds(seeds)
 		case <-k.leave:
 			k.send(k.sync.Leave(k.now()))
 		case <-ticker.C:
@@ -258,6 +288,7 @@
 func (k *Keeper) result(r agatestorereader.Result) {
 	k.reading.cancel()
 	k.reading = reading{}
+	k.meter.Read(outcome(r.Err), time.Since(r.Asked))
 	if r.Err != nil {
 		k.failed(r.Err)
 		return
@@ -271,6 +302,18 @@
 	k.send(k.sync.Read(r.Changes, r.Asked.Sub(k.started), k.now()))
 }
 
+// outcome returns how a read ended, for the metrics.
+func outcome(err error) agatemeter.Outcome {
+	var compacted *agatechange.CompactedError
+	switch {
+	case err == nil:
+		return agatemeter.OK
+	case errors.As(err, &compacted):
+		return agatemeter.Compacted
+	}
+	return agatemeter.Failed
+}
+
 // failed plans the next read after one that failed.
 func (k *Keeper) failed(err error) {
 	var compacted *agatechange.CompactedError
@@ -299,10 +342,23 @@
 	if from := k.version(); view.Catalog.Version() != from {
 		k.log.Info("config: in force", "version", view.Catalog.Version(), "from", from)
 	}
+	k.measure(view)
 	k.published = view
 	k.handlers.View(view)
 }
 
+// measure brings the metrics up to date with a view.
+func (k *Keeper) measure(view View) {
+	k.meter.Confirmed(view.Confirmed)
+	k.meter.Peers(k.sync.Peers())
+	if view.Catalog != k.published.Catalog {
+		k.meter.Catalog(view.Catalog)
+	}
+	if k.version() == 0 && view.Catalog.Version() > 0 {
+		k.meter.Started(time.Since(k.started))
+	}
+}
+
 // version returns the version that was last handed on.
 func (k *Keeper) version() int64 {
 	if k.published.Catalog == nil {
