Reset flows only on firm evidence that their server is dead

A server acknowledges a lone segment with its answer only, so that each request of more than 200 ms is repeated once; three at a time silence a live server for 350 ms.

--- a/core/process/agatesilence/silence.go
+++ b/core/process/agatesilence/silence.go
@@ -11,8 +11,10 @@
 	// takes no new flow; at least 2, since one flow may have lost its packets.
 	Suspect int
 	// Confirm is the number of flows from which on open flows are given up; at
-	// least Suspect.
-	Confirm int
+	// least Suspect. Firm is how many of them must be firm evidence: a live
+	// server that is busy leaves a lone segment unacknowledged until its answer,
+	// but answers handshakes and acknowledges what it gets twice.
+	Confirm, Firm int
 	// Patience is how long a server must have been silent to be confirmed.
 	Patience time.Duration
 	// Retry is the time between two trials of a silent server, by all entries
@@ -27,6 +29,26 @@
 type witness struct {
 	flow  uint64
 	since time.Duration
+	firm  bool
+}
+
+// Evidence sums up flows without an answer.
+type Evidence struct {
+	// Flows is their number, and Firm that of those that are firm evidence.
+	Flows, Firm int
+	// Since is since when the first of them has had no answer.
+	Since time.Duration
+}
+
+// Add returns the sum of two.
+func (e Evidence) Add(o Evidence) Evidence {
+	switch {
+	case e.Flows == 0:
+		return o
+	case o.Flows == 0:
+		return e
+	}
+	return Evidence{Flows: e.Flows + o.Flows, Firm: e.Firm + o.Firm, Since: min(e.Since, o.Since)}
 }
 
 // Watch is what is known of one server's silence. The zero value is a server
@@ -38,10 +60,8 @@
 	// witnesses are the flows without an answer since then; each is another.
 	witnesses [maxFlows]witness
 	count     int
-	// others is the number of flows that other entries report, and othersSince
-	// the time from which on they had no answer.
-	others      int
-	othersSince time.Duration
+	// others is what other entries report.
+	others Evidence
 	// missed is when an answer was last missed or a new flow given as a trial.
 	missed time.Duration
 }
@@ -67,8 +87,8 @@
 		}
 	}
 	w.count = kept
-	if w.othersSince <= at {
-		w.others = 0
+	if w.others.Since <= at {
+		w.others = Evidence{}
 	}
 }
 
@@ -80,64 +100,56 @@
 func (w *Watch) LastHeard() time.Duration { return w.heard }
 
 // Missed notes at the time now that a flow has had no answer since the given
-// time.
-func (w *Watch) Missed(flow uint64, since, now time.Duration) {
+// time, and whether that is firm evidence.
+func (w *Watch) Missed(flow uint64, since, now time.Duration, firm bool) {
 	if since <= w.heard {
 		return
 	}
 	w.missed = now
 	for i := range w.witnesses[:w.count] {
-		if w.witnesses[i].flow == flow {
-			w.witnesses[i].since = min(w.witnesses[i].since, since)
+		if known := &w.witnesses[i]; known.flow == flow {
+			known.since = min(known.since, since)
+			known.firm = known.firm || firm
 			return
 		}
 	}
 	if w.count < maxFlows {
-		w.witnesses[w.count] = witness{flow: flow, since: since}
+		w.witnesses[w.count] = witness{flow: flow, since: since, firm: firm}
 		w.count++
 	}
 }
 
-// Report notes that other entries know of a number of flows without an answer
-// since the given time.
-func (w *Watch) Report(flows int, since time.Duration) {
-	if since <= w.heard {
-		flows = 0
+// Report notes what other entries know of, in place of what they knew before.
+func (w *Watch) Report(others Evidence) {
+	if others.Since <= w.heard {
+		others = Evidence{}
 	}
-	w.others = flows
-	w.othersSince = since
+	w.others = others
 }
 
-// Own returns the number of flows without an answer that were seen here, and
-// since when the first of them has had none.
-func (w *Watch) Own() (flows int, since time.Duration) {
-	for i, each := range w.witnesses[:w.count] {
-		if i == 0 || each.since < since {
-			since = each.since
+// Own returns the flows without an answer that were seen here.
+func (w *Watch) Own() Evidence {
+	var sum Evidence
+	for _, each := range w.witnesses[:w.count] {
+		one := Evidence{Flows: 1, Since: each.since}
+		if each.firm {
+			one.Firm = 1
 		}
+		sum = sum.Add(one)
 	}
-	return w.count, since
-}
-
-// Missing returns the number of flows without an answer that are known of, and
-// since when the first of them has had none.
-func (w *Watch) Missing() (flows int, since time.Duration) {
-	flows, since = w.Own()
-	if w.others > 0 && (flows == 0 || w.othersSince < since) {
-		since = w.othersSince
-	}
-	return flows + w.others, since
+	return sum
 }
 
-// flows returns the number of flows without an answer.
-func (w *Watch) flows() int { return w.count + w.others }
+// Missing returns the flows without an answer that are known of.
+func (w *Watch) Missing() Evidence { return w.Own().Add(w.others) }
 
 // Suspected reports whether the server should take no new flow.
-func (w *Watch) Suspected(p Policy) bool { return w.flows() >= p.Suspect }
+func (w *Watch) Suspected(p Policy) bool { return w.count+w.others.Flows >= p.Suspect }
 
 // Confirmed reports whether the server's open flows should be given up.
 func (w *Watch) Confirmed(p Policy, now time.Duration) bool {
-	return w.flows() >= p.Confirm && now-w.heard >= p.Patience
+	known := w.Missing()
+	return known.Flows >= p.Confirm && known.Firm >= p.Firm && now-w.heard >= p.Patience
 }
 
 // Due reports whether a suspected server may be given a new flow as a trial, by
--- a/core/process/agatesteer/dump.go
+++ b/core/process/agatesteer/dump.go
@@ -18,12 +18,11 @@
 }
 
 func (s *Steerer) dumpServer(known *server, now time.Duration) agatedump.Server {
-	missed, _ := known.silence.Missing()
 	return agatedump.Server{
 		ID: known.instance.ID, Born: known.instance.Born, Service: known.instance.Service,
 		Address: known.instance.Address, Centre: known.instance.Centre, State: known.instance.State,
 		Waiting: len(known.waiting) + len(known.opening), Open: known.open, Others: known.reported.waiting,
 		Silent: s.unreachable(known) || known.silence.Suspected(s.policy.Silence),
-		Missed: missed, Heard: agatedump.Since(known.silence.LastHeard(), now),
+		Missed: known.silence.Missing().Flows, Heard: agatedump.Since(known.silence.LastHeard(), now),
 	}
 }
--- a/core/process/agatesteer/note.go
+++ b/core/process/agatesteer/note.go
@@ -33,14 +33,22 @@
 	}
 }
 
+// firmRepeats is the number of segments of a flow sent again from which on it is
+// firm evidence against its server.
+const firmRepeats = 2
+
 // miss notes a segment that was sent again. A SYN that went to several servers
-// speaks against the last one only.
+// speaks against the last one only. What is repeated was first sent no later
+// than the time after which callers repeat; segments that overtook each other
+// look younger.
 func (s *Steerer) miss(f *flow, event agatetrack.Event, now time.Duration) {
+	since := min(event.Since, now-s.policy.Repeat)
+	firm := f.Phase == agatetrack.Opening || f.Repeats >= firmRepeats
 	on := f.Owner.server
-	before, _ := on.silence.Own()
-	on.silence.Missed(f.Tuple.Hash(), event.Since, now)
-	after, _ := on.silence.Own()
-	s.urgent = s.urgent || after > before && after <= s.policy.Silence.Confirm
+	before := on.silence.Own()
+	on.silence.Missed(f.Tuple.Hash(), since, now, firm)
+	after := on.silence.Own()
+	s.urgent = s.urgent || after.Flows <= s.policy.Silence.Confirm && (after.Flows > before.Flows || after.Firm > before.Firm)
 }
 
 // TakeUrgent reports whether there is news since the last call that other
--- a/core/process/agatesteer/policy.go
+++ b/core/process/agatesteer/policy.go
@@ -14,6 +14,8 @@
 	// Window is the number of bytes that a caller may send ahead of the
 	// server's acknowledgements.
 	Window uint32
+	// Repeat is the time after which a caller repeats a segment first.
+	Repeat time.Duration
 	// Idle is how long a flow is followed after its last segment, unless the
 	// configuration says otherwise.
 	Idle time.Duration
@@ -44,6 +46,7 @@
 	return Policy{
 		Flows:     1 << 16,
 		Window:    16 * 1200,
+		Repeat:    200 * time.Millisecond,
 		Idle:      15 * time.Second,
 		Handshake: 1500 * time.Millisecond,
 		Request:   10 * time.Second,
@@ -55,6 +58,7 @@
 		Silence: agatesilence.Policy{
 			Suspect:  2,
 			Confirm:  3,
+			Firm:     2,
 			Patience: 350 * time.Millisecond,
 			Retry:    time.Second,
 			RetryMax: 4 * time.Second,
--- a/core/process/agatesteer/server.go
+++ b/core/process/agatesteer/server.go
@@ -56,7 +56,7 @@
 	// reported is the load that other entries state, and suspicions are what
 	// they say of answers that it owes.
 	reported   reported
-	suspicions map[string]suspicion
+	suspicions map[string]agatesilence.Evidence
 }
 
 // reported is the load that other entries of a server state.
--- a/core/process/agatesteer/share.go
+++ b/core/process/agatesteer/share.go
@@ -9,12 +9,6 @@
 	"agatereach/core/version/agatecatalog"
 )
 
-// suspicion is what another entry said of a server that misses answers.
-type suspicion struct {
-	flows int
-	since time.Duration
-}
-
 // stated is a load that another entry has stated.
 type stated struct {
 	on   *server
@@ -43,7 +37,7 @@
 func (s *Steerer) Suspicions(now time.Duration) []agateload.Load {
 	var loads []agateload.Load
 	for _, each := range s.servers {
-		if missed, _ := each.silence.Own(); missed == 0 {
+		if each.silence.Own().Flows == 0 {
 			continue
 		}
 		if load, ok := each.own(now); ok {
@@ -59,8 +53,8 @@
 // own returns what this entry has seen of a server; false if others need not
 // know.
 func (s *server) own(now time.Duration) (agateload.Load, bool) {
-	missed, since := s.silence.Own()
-	doubted := missed > 0 || len(s.suspicions) > 0
+	missed := s.silence.Own()
+	doubted := missed.Flows > 0 || len(s.suspicions) > 0
 	if s.token == 0 || s.busy < minStated && s.open == 0 && !doubted {
 		return agateload.Load{}, false
 	}
@@ -68,13 +62,14 @@
 		Token:   s.token,
 		Waiting: uint16(min(s.busy*agateload.Unit, math.MaxUint16)),
 		Open:    uint16(min(s.open, math.MaxUint16)),
-		Missed:  uint8(missed),
+		Missed:  uint8(missed.Flows),
+		Firm:    uint8(missed.Firm),
 	}
 	if seen := s.silence.LastSeen(); seen > 0 && doubted {
 		load.Heard = agateload.Age(now - seen)
 	}
-	if missed > 0 {
-		load.Since = agateload.Age(now - since)
+	if missed.Flows > 0 {
+		load.Since = agateload.Age(now - missed.Since)
 	}
 	return load, true
 }
@@ -109,26 +104,22 @@
 		on.silence.Heard(now - agateload.Duration(load.Heard) - s.policy.Transit)
 	}
 	if load.Missed > 0 {
-		since := now - agateload.Duration(load.Since)
-		on.suspicions[from] = suspicion{flows: int(load.Missed), since: since}
+		on.suspicions[from] = agatesilence.Evidence{
+			Flows: int(load.Missed), Firm: int(load.Firm), Since: now - agateload.Duration(load.Since),
+		}
 		on.gather()
 	}
 }
 
 // gather sums up the suspicions of other entries.
 func (s *server) gather() {
-	flows := 0
-	var first time.Duration
+	var sum agatesilence.Evidence
 	for _, each := range s.suspicions {
-		if each.since <= s.silence.LastHeard() {
-			continue
-		}
-		if flows == 0 || each.since < first {
-			first = each.since
+		if each.Since > s.silence.LastHeard() {
+			sum = sum.Add(each)
 		}
-		flows += each.flows
 	}
-	s.silence.Report(flows, first)
+	s.silence.Report(sum)
 }
 
 // add adds a load, or takes it off with sign -1.
@@ -174,7 +165,7 @@
 // judgeCentres finds the other data centres that cannot be reached. A cut takes
 // all of a data centre's servers at once, each with too few flows from here to
 // be held silent by itself.
-func (s *Steerer) judgeCentres(now time.Duration) {
+func (s *Steerer) judgeCentres() {
 	sums := make(map[string]*centreSum)
 	for _, each := range s.servers {
 		name := each.instance.Centre
@@ -183,7 +174,7 @@
 		}
 		sum := sums[name]
 		if sum == nil {
-			sum = &centreSum{first: now}
+			sum = &centreSum{}
 			sums[name] = sum
 		}
 		sum.add(each)
@@ -208,25 +199,25 @@
 
 // centreSum sums up a data centre's servers.
 type centreSum struct {
-	// heard is when any of them last showed life, first since when flows miss
-	// answers, flows the number of those, and servers that of their servers.
-	heard, first   time.Duration
-	flows, servers int
+	// heard is when any of them last showed life.
+	heard time.Duration
+	// missing are the flows without an answer, to a number of servers.
+	missing agatesilence.Evidence
+	servers int
 }
 
 func (c *centreSum) add(each *server) {
 	c.heard = max(c.heard, each.silence.LastHeard())
-	flows, since := each.silence.Missing()
-	if flows == 0 {
+	missing := each.silence.Missing()
+	if missing.Flows == 0 {
 		return
 	}
-	c.first = min(c.first, since)
-	c.flows += flows
+	c.missing = c.missing.Add(missing)
 	c.servers++
 }
 
 func (c *centreSum) silent(p agatesilence.Policy) bool {
-	return c.servers > 1 && c.flows >= p.Confirm && c.first > c.heard
+	return c.servers > 1 && c.missing.Flows >= p.Confirm && c.missing.Firm >= p.Firm && c.missing.Since > c.heard
 }
 
 // unreachable reports whether a server's data centre cannot be reached.
@@ -246,6 +237,6 @@
 	if on.silence.Confirmed(s.policy.Silence, now) {
 		return true
 	}
-	flows, _ := on.silence.Missing()
-	return s.unreachable(on) && flows > 0 && now-on.silence.LastHeard() >= s.policy.Silence.Patience
+	missing := on.silence.Missing()
+	return s.unreachable(on) && missing.Flows > 0 && now-on.silence.LastHeard() >= s.policy.Silence.Patience
 }
--- a/core/process/agatesteer/steer.go
+++ b/core/process/agatesteer/steer.go
@@ -9,6 +9,7 @@
 
 	"agatereach/core/connection/agatetrack"
 	"agatereach/core/process/agatepick"
+	"agatereach/core/process/agatesilence"
 	"agatereach/core/request/agatesegment"
 	"agatereach/core/request/agatetuple"
 	"agatereach/core/version/agatecatalog"
@@ -96,7 +97,7 @@
 		known = &server{
 			opening:    make(map[*flow]struct{}),
 			waiting:    make(map[*flow]struct{}),
-			suspicions: make(map[string]suspicion),
+			suspicions: make(map[string]agatesilence.Evidence),
 		}
 		s.servers[instance.Key] = known
 	}
@@ -139,7 +140,7 @@
 		return
 	}
 	v.Server, v.Address = v.on.instance.ID, v.on.instance.Address
-	e.Missed, _ = v.on.silence.Missing()
+	e.Missed = v.on.silence.Missing().Flows
 	if heard := v.on.silence.LastHeard(); heard > 0 {
 		e.Heard = now - heard
 	}
--- a/core/request/agateload/load.go
+++ b/core/request/agateload/load.go
@@ -13,9 +13,11 @@
 	Open    uint16 `cbor:"3,keyasint,omitempty"`
 	// Heard is how long ago the server last showed life, in ms; 0 if it has not.
 	Heard uint32 `cbor:"4,keyasint,omitempty"`
-	// Missed is the number of flows without an answer since, and Since how long
-	// ago the first of them was sent, in ms.
+	// Missed is the number of flows without an answer since, Firm that of those
+	// that are firm evidence, and Since how long ago the first of them was sent,
+	// in ms.
 	Missed uint8  `cbor:"5,keyasint,omitempty"`
+	Firm   uint8  `cbor:"7,keyasint,omitempty"`
 	Since  uint32 `cbor:"6,keyasint,omitempty"`
 }
 
