--- a/core/process/agatesteer/steer_test.go
+++ b/core/process/agatesteer/steer_test.go
@@ -1,6 +1,7 @@
 package agatesteer_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -598,3 +599,29 @@
 		t.Errorf("%d flows are followed after their handshakes failed", n)
 	}
 }
+
+// BenchmarkHandle decides on segments of known flows, and on new flows among the
+// servers of a large service.
+func BenchmarkHandle(b *testing.B) {
+	for _, servers := range []int{14, 120} {
+		w := newWorld(b)
+		for id := range uint64(servers) {
+			w.server(id+1, "a", agateinstance.Ready)
+		}
+		c := w.call(feeds)
+		c.open()
+		known := agatesegment.Segment{Flow: c.flow, Sequence: c.sequence, Acknowledged: c.acknowledged, Flags: agatesegment.ACK, Token: c.token}
+		b.Run(fmt.Sprint("known/", servers), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				w.steerer.Handle(known, w.now)
+			}
+		})
+		b.Run(fmt.Sprint("new/", servers), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				w.call(orders).syn()
+			}
+		})
+	}
+}
--- a/core/version/agatecatalog/catalog_test.go
+++ b/core/version/agatecatalog/catalog_test.go
@@ -1,7 +1,9 @@
 package agatecatalog_test
 
 import (
+	"fmt"
 	"net/netip"
+	"runtime"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -152,14 +154,27 @@
 	}
 }
 
-// BenchmarkUpdate changes one server of a data centre at the design size.
+// BenchmarkUpdate changes one server of a data centre, and of all, at the design
+// size, and reports the memory that a catalog holds for a server.
 func BenchmarkUpdate(b *testing.B) {
-	var records []agateinstance.Instance
-	for id := range uint64(6000) {
-		records = append(records, instance(id+1, 1, 1))
-	}
-	c := with(new(agatecatalog.Catalog), records...)
-	for i := 0; b.Loop(); i++ {
-		c = with(c, instance(uint64(i%6000)+1, 1, int64(i+2)))
+	for _, size := range []int{150, 6000, 120000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			var records []agateinstance.Instance
+			for id := range uint64(size) {
+				records = append(records, instance(id+1, 1, 1))
+			}
+			c := with(new(agatecatalog.Catalog), records...)
+			records = nil
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			perServer := float64(after.HeapAlloc-before.HeapAlloc) / float64(size)
+			for i := 0; b.Loop(); i++ {
+				c = with(c, instance(uint64(i%size)+1, 1, int64(i+2)))
+			}
+			b.ReportMetric(perServer, "B/server")
+		})
 	}
 }
--- a/ctl/process/agatecommand/command.go
+++ b/ctl/process/agatecommand/command.go
@@ -106,6 +106,7 @@
 		data        any
 	}{
 		{"status", "show the ticket in force on each entry and which entry is behind", &status{command: c}},
+		{"fleet", "show what each entry holds when servers answer callers themselves", &fleet{command: c}},
 		{"dump", "print the state of an entry", &dump{command: c}},
 		{"token", "decode a route token", &token{command: c}},
 		{"check-ticket", "check a ticket before it is published", &checkTicket{command: c}},
