Count no repeated segment that lay in a backlog as evidence

After a pause an entry reads requests and their copies at once and held every server dead. Evidence now needs 170 ms between passing a segment on and its copy, and none counts while the entry is late with its packets.

--- a/core/process/agatesteer/note.go
+++ b/core/process/agatesteer/note.go
@@ -38,15 +38,18 @@
 const firmRepeats = 2
 
 // miss notes a segment that was sent again. A SYN that went to several servers
-// speaks against the last one only. What is repeated was first sent no later
-// than the time after which callers repeat; segments that overtook each other
-// look younger.
+// speaks against the last one only. It is no evidence before the server has had
+// the time for an answer since the segment was passed on: after a pause copies
+// arrive together, and segments may overtake each other.
 func (s *Steerer) miss(f *flow, event agatetrack.Event, now time.Duration) {
-	since := min(event.Since, now-s.policy.Repeat)
+	if now < s.blind || now-event.Since < s.policy.Repeat {
+		f.Repeats = 0
+		return
+	}
 	firm := f.Phase == agatetrack.Opening || f.Repeats >= firmRepeats
 	on := f.Owner.server
 	before := on.silence.Own()
-	on.silence.Missed(f.Tuple.Hash(), since, now, firm)
+	on.silence.Missed(f.Tuple.Hash(), event.Since, now, firm)
 	after := on.silence.Own()
 	s.urgent = s.urgent || after.Flows <= s.policy.Silence.Confirm && (after.Flows > before.Flows || after.Firm > before.Firm)
 }
@@ -164,3 +167,7 @@
 	}
 	return known
 }
+
+// Lagged notes that the entry is late with its packets, so that callers repeat
+// themselves for its own fault and signs of life still wait to be read.
+func (s *Steerer) Lagged(now time.Duration) { s.blind = now + s.policy.Blind }
--- a/core/process/agatesteer/policy.go
+++ b/core/process/agatesteer/policy.go
@@ -14,8 +14,12 @@
 	// Window is the number of bytes that a caller may send ahead of the
 	// server's acknowledgements.
 	Window uint32
-	// Repeat is the time after which a caller repeats a segment first.
+	// Repeat is how long ago a segment must have been passed on for its copy to
+	// be evidence: nearly the time after which callers repeat first.
 	Repeat time.Duration
+	// Blind is how long an entry that was late with its packets counts no
+	// evidence: longer than callers wait before they repeat.
+	Blind time.Duration
 	// Idle is how long a flow is followed after its last segment, unless the
 	// configuration says otherwise.
 	Idle time.Duration
@@ -46,7 +50,8 @@
 	return Policy{
 		Flows:     1 << 16,
 		Window:    16 * 1200,
-		Repeat:    200 * time.Millisecond,
+		Repeat:    170 * time.Millisecond,
+		Blind:     500 * time.Millisecond,
 		Idle:      15 * time.Second,
 		Handshake: 1500 * time.Millisecond,
 		Request:   10 * time.Second,
--- a/core/process/agatesteer/share.go
+++ b/core/process/agatesteer/share.go
@@ -234,6 +234,9 @@
 
 // dead reports whether the open flows of a server should be given up.
 func (s *Steerer) dead(on *server, now time.Duration) bool {
+	if now < s.blind {
+		return false
+	}
 	if on.silence.Confirmed(s.policy.Silence, now) {
 		return true
 	}
--- a/core/process/agatesteer/steer.go
+++ b/core/process/agatesteer/steer.go
@@ -40,6 +40,8 @@
 	centres map[string]*centreState
 	// usages are what was learnt of virtual addresses, by name.
 	usages map[string]*usage
+	// blind is until when repeated segments are no evidence.
+	blind time.Duration
 	// urgent says that there is news for other entries.
 	urgent bool
 	// candidates and offered are reused from choice to choice.
@@ -201,7 +203,7 @@
 		s.assign(f, known)
 	}
 	s.note(f, event, now)
-	if instance.State == agateinstance.Gone && s.lost(known, f, event) {
+	if instance.State == agateinstance.Gone && s.lost(known, f, event, now) {
 		return s.reset(f, Ended)
 	}
 	if f.Waiting && s.dead(known, now) && s.idempotent(f) {
@@ -220,11 +222,11 @@
 // it has been started anew, another has its address, or it does not answer. One
 // segment without an answer may have been lost, and a server may serve its flows
 // for a while after its registration is gone.
-func (s *Steerer) lost(gone *server, f *flow, event agatetrack.Event) bool {
+func (s *Steerer) lost(gone *server, f *flow, event agatetrack.Event, now time.Duration) bool {
 	if s.catalog.Replaced(gone.instance) {
 		return true
 	}
-	unanswered := event.Repeated && event.Since > gone.silence.LastHeard()
+	unanswered := event.Repeated && event.Since > gone.silence.LastHeard() && now >= s.blind
 	return unanswered && (f.Repeats >= lostRepeats || gone.silence.Suspected(s.policy.Silence))
 }
 
--- a/core/process/agatesteer/steer_test.go
+++ b/core/process/agatesteer/steer_test.go
@@ -625,3 +625,65 @@
 		})
 	}
 }
+
+// TestBacklog hands over at once what callers sent while the entry stood still:
+// SYNs and requests with their copies. That no answer lay between them is no
+// evidence, and nothing is reset.
+func TestBacklog(t *testing.T) {
+	w := newWorld(t)
+	for id := range uint64(3) {
+		w.server(id+1, "a", agateinstance.Ready)
+	}
+	var calls []*call
+	for range 12 {
+		c := w.call(feeds)
+		c.open()
+		calls = append(calls, c)
+	}
+	w.run(10 * ms)
+	w.now += 3 * time.Second
+	for _, c := range calls {
+		c.request()
+		for range 3 {
+			if v := c.again(); v.Action != agatesteer.Forward {
+				t.Fatalf("%s, %s", v.Action, v.Reason)
+			}
+		}
+	}
+	for range 12 {
+		c := w.call(orders)
+		c.syn()
+		c.syn()
+		c.syn()
+	}
+	if resets := w.run(100 * ms); len(resets) > 0 {
+		t.Errorf("%d flows reset", len(resets))
+	}
+	if v := w.call(orders).syn(); v.Evidence.Missed > 0 {
+		t.Errorf("%d flows count against a server", v.Evidence.Missed)
+	}
+}
+
+// TestLagged lets the entry say that it is late with its packets: what callers
+// repeat meanwhile is its own fault.
+func TestLagged(t *testing.T) {
+	w := newWorld(t)
+	w.server(1, "a", agateinstance.Ready)
+	var calls []*call
+	for range 6 {
+		c := w.call(feeds)
+		c.open()
+		w.run(5 * ms)
+		c.request()
+		calls = append(calls, c)
+	}
+	w.run(200 * ms)
+	w.steerer.Lagged(w.now)
+	for _, c := range calls {
+		c.again()
+		c.again()
+	}
+	if resets := w.run(400 * ms); len(resets) > 0 {
+		t.Errorf("%d flows reset", len(resets))
+	}
+}
--- a/entry/process/agateforwarder/forwarder.go
+++ b/entry/process/agateforwarder/forwarder.go
@@ -26,6 +26,10 @@
 	// tick is the time between two looks at what falls due. A silent server
 	// shows after 200 ms, the time after which callers repeat themselves.
 	tick = 100 * time.Millisecond
+	// late is the time between two looks from which on the process lags behind,
+	// and crowded the number of packets that wait from which on it does.
+	late    = 2 * tick
+	crowded = queue / 8
 	// queue is the number of packets that wait for the goroutine.
 	queue = 512
 	// batch is the number of packets sent by one system call.
@@ -96,6 +100,8 @@
 	ready bool
 	// started is the start of the steerer's clock.
 	started time.Time
+	// ticked is when it last looked at what falls due.
+	ticked time.Duration
 	// pending are the packets whose memory is in use until the next flush.
 	pending []*packet
 	// last is when a caller's packet last came.
@@ -215,6 +221,9 @@
 // packets handles a packet and those that wait behind it.
 func (f *Forwarder) packets(p *packet) {
 	now := f.now()
+	if now-f.ticked > late {
+		f.steerer.Lagged(now)
+	}
 	f.last.Store(int64(now))
 	for {
 		f.handle(p, now)
@@ -283,6 +292,10 @@
 // tick does what falls due with time.
 func (f *Forwarder) tick() {
 	now := f.now()
+	if now-f.ticked > late || f.arrived.Len() > crowded {
+		f.steerer.Lagged(now)
+	}
+	f.ticked = now
 	for _, v := range f.steerer.Tick(now) {
 		f.carry(v, nil, now)
 	}
