--- a/core/process/agatesteer/policy.go
+++ b/core/process/agatesteer/policy.go
@@ -59,7 +59,7 @@
 		Fresh:     2 * time.Second,
 		Recent:    5 * time.Second,
 		Transit:   20 * time.Millisecond,
-		Pick:      agatepick.Policy{Distance: 0.35, MaxSilent: 0.5},
+		Pick:      agatepick.Policy{Distance: 0.7, MaxSilent: 0.5},
 		Silence: agatesilence.Policy{
 			Suspect:  2,
 			Confirm:  3,
