Let entries contradict the suspicions of others before flows are reset

Among 21 entries each sees a server twice a second; suspicions were shared at once and signs of life only with the next round of heartbeats, so that lost segments of several entries added up against a live server. An entry that has seen the server live says so at once, and evidence must stand for 200 ms.

--- a/core/process/agatesilence/silence.go
+++ b/core/process/agatesilence/silence.go
@@ -15,8 +15,10 @@
 	// server that is busy leaves a lone segment unacknowledged until its answer,
 	// but answers handshakes and acknowledges what it gets twice.
 	Confirm, Firm int
-	// Patience is how long a server must have been silent to be confirmed.
-	Patience time.Duration
+	// Patience is how long a server must have been silent to be confirmed, and
+	// Settle how long the evidence must have been enough: in that time an entry
+	// that has seen the server live can say so.
+	Patience, Settle time.Duration
 	// Retry is the time between two trials of a silent server, by all entries
 	// together, and RetryMax the longest that one entry waits.
 	Retry, RetryMax time.Duration
@@ -62,6 +64,9 @@
 	count     int
 	// others is what other entries report.
 	others Evidence
+	// enough is since when the evidence has been enough to confirm it; 0 if it is
+	// not.
+	enough time.Duration
 	// missed is when an answer was last missed or a new flow given as a trial.
 	missed time.Duration
 }
@@ -79,6 +84,7 @@
 		return
 	}
 	w.heard = at
+	w.enough = 0
 	kept := 0
 	for _, each := range w.witnesses[:w.count] {
 		if each.since > at {
@@ -146,10 +152,18 @@
 // Suspected reports whether the server should take no new flow.
 func (w *Watch) Suspected(p Policy) bool { return w.count+w.others.Flows >= p.Suspect }
 
-// Confirmed reports whether the server's open flows should be given up.
+// Confirmed reports whether the server's open flows should be given up. It is
+// meant to be asked some ten times a second.
 func (w *Watch) Confirmed(p Policy, now time.Duration) bool {
 	known := w.Missing()
-	return known.Flows >= p.Confirm && known.Firm >= p.Firm && now-w.heard >= p.Patience
+	if known.Flows < p.Confirm || known.Firm < p.Firm {
+		w.enough = 0
+		return false
+	}
+	if w.enough == 0 {
+		w.enough = now
+	}
+	return now-w.enough >= p.Settle && now-w.heard >= p.Patience
 }
 
 // Due reports whether a suspected server may be given a new flow as a trial, by
--- a/core/process/agatesteer/policy.go
+++ b/core/process/agatesteer/policy.go
@@ -65,6 +65,7 @@
 			Confirm:  3,
 			Firm:     2,
 			Patience: 350 * time.Millisecond,
+			Settle:   200 * time.Millisecond,
 			Retry:    time.Second,
 			RetryMax: 4 * time.Second,
 		},
--- a/core/process/agatesteer/share.go
+++ b/core/process/agatesteer/share.go
@@ -33,13 +33,15 @@
 	return loads
 }
 
-// Suspicions returns what this entry has seen of the servers that miss answers.
+// Suspicions returns what this entry has seen of the servers that miss answers,
+// and of those that others suspect wrongly.
 func (s *Steerer) Suspicions(now time.Duration) []agateload.Load {
 	var loads []agateload.Load
 	for _, each := range s.servers {
-		if each.silence.Own().Flows == 0 {
+		if each.silence.Own().Flows == 0 && !each.contradicted {
 			continue
 		}
+		each.contradicted = false
 		if load, ok := each.own(now); ok {
 			loads = append(loads, load)
 		}
@@ -104,10 +106,13 @@
 		on.silence.Heard(now - agateload.Duration(load.Heard) - s.policy.Transit)
 	}
 	if load.Missed > 0 {
-		on.suspicions[from] = agatesilence.Evidence{
-			Flows: int(load.Missed), Firm: int(load.Firm), Since: now - agateload.Duration(load.Since),
-		}
+		since := now - agateload.Duration(load.Since)
+		on.suspicions[from] = agatesilence.Evidence{Flows: int(load.Missed), Firm: int(load.Firm), Since: since}
 		on.gather()
+		if on.silence.LastSeen() > since {
+			on.contradicted = true
+			s.urgent = true
+		}
 	}
 }
 
@@ -158,6 +163,8 @@
 	// silent says that several of its servers miss answers and none has
 	// answered since.
 	silent bool
+	// since is since when that has been so.
+	since time.Duration
 	// tried is when a new flow was last given to one of its servers.
 	tried time.Duration
 }
@@ -165,7 +172,7 @@
 // judgeCentres finds the other data centres that cannot be reached. A cut takes
 // all of a data centre's servers at once, each with too few flows from here to
 // be held silent by itself.
-func (s *Steerer) judgeCentres() {
+func (s *Steerer) judgeCentres(now time.Duration) {
 	sums := make(map[string]*centreSum)
 	for _, each := range s.servers {
 		name := each.instance.Centre
@@ -180,7 +187,12 @@
 		sum.add(each)
 	}
 	for name, sum := range sums {
-		s.centreNamed(name).silent = sum.silent(s.policy.Silence)
+		known := s.centreNamed(name)
+		silent := sum.silent(s.policy.Silence)
+		if silent && !known.silent {
+			known.since = now
+		}
+		known.silent = silent
 	}
 }
 
@@ -232,6 +244,12 @@
 		now-s.centreOf(each).tried >= s.policy.Silence.RetryMax
 }
 
+// settled reports whether a server's data centre has been silent for so long that
+// an entry which has seen one of its servers live would have said so.
+func (s *Steerer) settled(on *server, now time.Duration) bool {
+	return now-s.centreOf(on).since >= s.policy.Silence.Settle
+}
+
 // dead reports whether the open flows of a server should be given up.
 func (s *Steerer) dead(on *server, now time.Duration) bool {
 	if now < s.blind {
@@ -241,5 +259,5 @@
 		return true
 	}
 	missing := on.silence.Missing()
-	return s.unreachable(on) && missing.Flows > 0 && now-on.silence.LastHeard() >= s.policy.Silence.Patience
+	return s.unreachable(on) && s.settled(on, now) && missing.Flows > 0 && now-on.silence.LastHeard() >= s.policy.Silence.Patience
 }
--- a/core/process/agatesteer/tick.go
+++ b/core/process/agatesteer/tick.go
@@ -20,7 +20,7 @@
 	}
 	s.flows.Expire(now - s.idle())
 	s.expireStatements(now)
-	s.judgeCentres()
+	s.judgeCentres(now)
 	var resets []Verdict
 	for _, each := range s.servers {
 		each.sample()
--- a/core/process/agatesync/sync.go
+++ b/core/process/agatesync/sync.go
@@ -4,6 +4,7 @@
 package agatesync
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -64,8 +65,10 @@
 	// peers were last looked through.
 	place           int
 	ranked, expired time.Duration
-	// urged is when urgent loads were last sent.
-	urged time.Duration
+	// urgent are loads by token that others should know at once, and urged is
+	// when such were last sent.
+	urgent map[uint32]agateload.Load
+	urged  time.Duration
 	// failing says that the last read of the store failed.
 	failing bool
 	// asked is when the last question was sent, and whole when the last one for
@@ -83,7 +86,7 @@
 func New(self Self, seeds []netip.AddrPort, policy Policy, merger *agatemerge.Merger, random func() float64) *Sync {
 	return &Sync{
 		self: self, policy: policy, merger: merger, random: random, seeds: seeds,
-		peers: make(map[netip.AddrPort]*peer), sought: -policy.Seek, asked: -policy.AskAgain,
+		peers: make(map[netip.AddrPort]*peer), urgent: make(map[uint32]agateload.Load), sought: -policy.Seek, asked: -policy.AskAgain,
 		whole: -policy.Differ, beaten: -policy.Beat,
 	}
 }
@@ -201,16 +204,31 @@
 		s.sought = now
 		sends = append(sends, s.seek()...)
 	}
+	sends = append(sends, s.urge(now)...)
 	return append(sends, s.beats(now)...)
 }
 
-// Urge returns heartbeats with loads that others can use at once.
+// Urge takes loads that others can use at once, and returns heartbeats with them
+// now or, if others went just before, with the next Tick.
 func (s *Sync) Urge(loads []agateload.Load, now time.Duration) []Send {
 	s.now = now
-	if len(loads) == 0 || now-s.urged < s.policy.Beat/2 {
+	for _, load := range loads {
+		s.urgent[load.Token] = load
+	}
+	return s.urge(now)
+}
+
+// urge returns heartbeats with the urgent loads.
+func (s *Sync) urge(now time.Duration) []Send {
+	if len(s.urgent) == 0 || now-s.urged < s.policy.Beat/2 {
 		return nil
 	}
 	s.urged = now
+	loads := make([]agateload.Load, 0, len(s.urgent))
+	for _, token := range slices.Sorted(maps.Keys(s.urgent)) {
+		loads = append(loads, s.urgent[token])
+	}
+	clear(s.urgent)
 	return address(s.near(), s.brief(loads))
 }
 
--- a/entry/process/agateforwarder/forwarder.go
+++ b/entry/process/agateforwarder/forwarder.go
@@ -206,6 +206,7 @@
 			f.update(u)
 		case r := <-f.reports.Items():
 			f.steerer.Report(r.From, r.Loads, r.Partial, f.now())
+			f.urge()
 		case asked := <-f.dumps.Items():
 			f.steerer.Dump(asked.dump, f.now())
 			close(asked.done)
@@ -239,6 +240,11 @@
 	}
 	f.flush()
 	f.meter.Batch(f.now()-now, f.steerer.Flows())
+	f.urge()
+}
+
+// urge shares what other entries should know at once.
+func (f *Forwarder) urge() {
 	if f.steerer.TakeUrgent() {
 		f.share(f.steerer.Suspicions(f.now()), true)
 	}
