--- /dev/null
+++ b/core/process/agatesteer/load_test.go
@@ -0,0 +1,144 @@
+package agatesteer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"agatereach/core/process/agatesteer"
+	"agatereach/core/request/agatesegment"
+	"agatereach/core/version/agateinstance"
+)
+
+// TestCrest plays bursts of short requests over servers of different sizes: the
+// load for each slot stays even.
+func TestCrest(t *testing.T) {
+	w := newWorld(t)
+	for id := range uint64(6) {
+		w.server(id+1, "a", agateinstance.Ready)
+	}
+	placed := make(map[uint64]int)
+	for range 60 {
+		c := w.call(orders)
+		placed[c.open().Server]++
+		c.request()
+	}
+	for id, n := range placed {
+		if n != 10 {
+			t.Errorf("server %d got %d of 60 requests, want 10", id, n)
+		}
+	}
+}
+
+// TestLongFlowsSpread opens flows that bring many requests, while short requests
+// come and go: the long ones are spread evenly though they are mostly idle.
+func TestLongFlowsSpread(t *testing.T) {
+	w := newWorld(t)
+	for id := range uint64(4) {
+		w.server(id+1, "a", agateinstance.Ready)
+	}
+	opened := make(map[uint64]int)
+	var calls []*call
+	for range 80 {
+		c := w.call(feeds)
+		opened[c.open().Server]++
+		calls = append(calls, c)
+		for _, each := range calls[max(0, len(calls)-8):] {
+			each.request()
+			w.run(5 * ms)
+			each.response()
+		}
+		w.run(20 * ms)
+	}
+	for id, n := range opened {
+		if n < 18 || n > 22 {
+			t.Errorf("server %d has %d of 80 long flows, want 20", id, n)
+		}
+	}
+}
+
+// TestSpill fills the servers of the own data centre: only then does another one
+// get flows.
+func TestSpill(t *testing.T) {
+	w := newWorld(t)
+	w.server(1, "a", agateinstance.Ready)
+	w.server(2, "a", agateinstance.Ready)
+	w.server(3, "b", agateinstance.Ready)
+	local := 0
+	for {
+		c := w.call(orders)
+		v := c.open()
+		c.request()
+		if v.Server == 3 {
+			break
+		}
+		local++
+	}
+	if local < 2 || local > 6 {
+		t.Errorf("%d flows before one went to the other data centre, want 2 to 6 for 6 slots", local)
+	}
+}
+
+// TestColdServer gives a server that has just started less than the others.
+func TestColdServer(t *testing.T) {
+	w := newWorld(t)
+	w.server(1, "a", agateinstance.Ready)
+	cold := w.server(2, "a", agateinstance.Ready)
+	w.revision++
+	cold.Cold, cold.Revision = 2*time.Second, w.revision
+	w.register(cold)
+	placed := make(map[uint64]int)
+	for range 16 {
+		c := w.call(orders)
+		placed[c.open().Server]++
+		c.request()
+	}
+	if placed[2] >= placed[1] || placed[2] == 0 {
+		t.Errorf("the cold server got %d and the warm one %d", placed[2], placed[1])
+	}
+}
+
+// TestBounded floods the steerer with SYNs: it follows no more flows than it may.
+func TestBounded(t *testing.T) {
+	w := newWorld(t)
+	w.policy.Flows = 100
+	w.steerer = agatesteer.New(w.policy, "a", rand.Float64)
+	w.server(1, "a", agateinstance.Ready)
+	for range 1000 {
+		w.call(feeds).syn()
+	}
+	if n := w.steerer.Flows(); n > 100 {
+		t.Errorf("%d flows are followed", n)
+	}
+	w.run(w.policy.Handshake + 200*ms)
+	if n := w.steerer.Flows(); n != 0 {
+		t.Errorf("%d flows are followed after their handshakes failed", n)
+	}
+}
+
+// BenchmarkHandle decides on segments of known flows, and on new flows among the
+// servers of a large service.
+func BenchmarkHandle(b *testing.B) {
+	for _, servers := range []int{14, 120} {
+		w := newWorld(b)
+		for id := range uint64(servers) {
+			w.server(id+1, "a", agateinstance.Ready)
+		}
+		c := w.call(feeds)
+		c.open()
+		known := agatesegment.Segment{Flow: c.flow, Sequence: c.sequence, Acknowledged: c.acknowledged, Flags: agatesegment.ACK, Token: c.token}
+		b.Run(fmt.Sprint("known/", servers), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				w.steerer.Handle(known, w.now)
+			}
+		})
+		b.Run(fmt.Sprint("new/", servers), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				w.call(orders).syn()
+			}
+		})
+	}
+}
--- a/entry/pages_test.go
+++ b/entry/pages_test.go
@@ -65,11 +65,17 @@
 	return string(text)
 }
 
+// metricCalls are the functions whose first argument is a metric's name.
+var metricCalls = []string{"vector", "Gauge", "Count", "counter", "counters", "gauge", "gauges", "histogram", "countFunc"}
+
 func TestPageNamesEveryMetric(t *testing.T) {
 	found := literals(t)
 	text := page(t)
-	names := append(found["vector"], append(found["Gauge"], found["Count"]...)...)
-	if len(names) < 10 {
+	var names []string
+	for _, call := range metricCalls {
+		names = append(names, found[call]...)
+	}
+	if len(names) < 20 {
 		t.Fatalf("only %d metrics found in the code", len(names))
 	}
 	for _, name := range names {
@@ -82,7 +88,7 @@
 func TestPageNamesNoOtherMetric(t *testing.T) {
 	found := literals(t)
 	known := map[string]bool{"renewals_total": true}
-	for _, call := range []string{"vector", "Gauge", "Count"} {
+	for _, call := range metricCalls {
 		for _, name := range found[call] {
 			known[name] = true
 		}
--- /dev/null
+++ b/entry/process/agatedirect/fixture_test.go
@@ -0,0 +1,327 @@
+package agatedirect_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"agatereach/core/process/agatedump"
+	"agatereach/core/process/agatesetup"
+	"agatereach/core/request/agatesegment"
+	"agatereach/core/request/agatetuple"
+	"agatereach/core/version/agatecatalog"
+	"agatereach/core/version/agatechange"
+	"agatereach/core/version/agateinstance"
+	"agatereach/core/version/agatevip"
+	"agatereach/entry/process/agatedirect"
+	"agatereach/entry/process/agatelogsink"
+)
+
+// patience bounds each wait; what is waited for takes milliseconds.
+const patience = 10 * time.Second
+
+// codec is a packet format of the tests: a head of fixed size.
+type codec struct{ callers uint16 }
+
+const headSize = 26
+
+type errShort struct{}
+
+func (errShort) Error() string { return "short packet" }
+
+func (codec) Decode(p []byte) (agatesegment.Segment, error) {
+	if len(p) < headSize {
+		return agatesegment.Segment{}, errShort{}
+	}
+	return agatesegment.Segment{
+		Flow: agatetuple.Tuple{
+			Source: [4]byte(p[0:4]), Target: [4]byte(p[4:8]),
+			SourcePort: binary.BigEndian.Uint16(p[8:]), TargetPort: binary.BigEndian.Uint16(p[10:]),
+		},
+		Sequence: binary.BigEndian.Uint32(p[12:]), Acknowledged: binary.BigEndian.Uint32(p[16:]),
+		Token: binary.BigEndian.Uint32(p[20:]), Flags: agatesegment.Flags(p[24]), Length: uint16(p[25]),
+	}, nil
+}
+
+func encode(s agatesegment.Segment) []byte {
+	p := append(append([]byte{}, s.Flow.Source[:]...), s.Flow.Target[:]...)
+	p = binary.BigEndian.AppendUint16(p, s.Flow.SourcePort)
+	p = binary.BigEndian.AppendUint16(p, s.Flow.TargetPort)
+	p = binary.BigEndian.AppendUint32(p, s.Sequence)
+	p = binary.BigEndian.AppendUint32(p, s.Acknowledged)
+	p = binary.BigEndian.AppendUint32(p, s.Token)
+	return append(p, byte(s.Flags), byte(s.Length))
+}
+
+func (codec) Mark(p []byte, token uint32) { binary.BigEndian.PutUint32(p[20:], token) }
+
+func (codec) AppendPrefix(prefix []byte, server uint64) []byte {
+	return binary.BigEndian.AppendUint64(prefix, server)
+}
+
+func (codec) Reset(flow agatetuple.Tuple, sequence uint32) []byte {
+	return encode(agatesegment.Segment{Flow: flow, Sequence: sequence, Flags: agatesegment.RST})
+}
+
+func (c codec) Caller(flow agatetuple.Tuple) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4(flow.Source), c.callers)
+}
+
+var errDown = errors.New("the stand-in is down")
+
+// store is a stand-in for the store. It is safe for concurrent use.
+type store struct {
+	mutex    sync.Mutex
+	state    agatechange.Changes
+	changed  chan struct{}
+	down     bool
+	compacts bool
+}
+
+func (s *store) set(change func(*store)) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	change(s)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) snapshot() (agatechange.Changes, chan struct{}, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.down {
+		return agatechange.Changes{}, nil, errDown
+	}
+	return s.state, s.changed, nil
+}
+
+func (s *store) List(context.Context) (agatechange.Changes, error) {
+	c, _, err := s.snapshot()
+	c.Whole = true
+	return c, err
+}
+
+func (s *store) Watch(ctx context.Context, after int64, wait time.Duration) (agatechange.Changes, error) {
+	c, changed, err := s.snapshot()
+	if err != nil {
+		return c, err
+	}
+	if s.compacted() {
+		return agatechange.Changes{}, &agatechange.CompactedError{After: after}
+	}
+	if c.Revision > after {
+		return c, nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return agatechange.Changes{}, ctx.Err()
+	case <-timer.C:
+		return agatechange.Changes{Revision: c.Revision}, nil
+	case <-changed:
+		c, _, err = s.snapshot()
+		return c, err
+	}
+}
+
+// compacted reports once that the history is gone.
+func (s *store) compacted() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	was := s.compacts
+	s.compacts = false
+	return was
+}
+
+func (s *store) Reset() {}
+
+// log is where an entry logs to. It is safe for concurrent use.
+type log struct {
+	mutex sync.Mutex
+	bytes.Buffer
+}
+
+func (l *log) Write(p []byte) (int, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.Buffer.Write(p)
+}
+
+func (l *log) text() string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.String()
+}
+
+// entry is an entry process within the test.
+type entry struct {
+	t     *testing.T
+	setup *agatesetup.Setup
+	log   *log
+	stop  func()
+}
+
+// freePort returns an address of loopback that nobody listens at.
+func freePort(t *testing.T, network string) netip.AddrPort {
+	t.Helper()
+	if network == "udp" {
+		conn := listen(t)
+		defer func() { _ = conn.Close() }()
+		return conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func listen(t *testing.T) *net.UDPConn {
+	t.Helper()
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+func start(t *testing.T, name string, source *store, callers uint16, change func(*agatesetup.Setup)) *entry {
+	t.Helper()
+	e := &entry{t: t, log: &log{}, setup: &agatesetup.Setup{
+		Name: name, Centre: "a", Packets: freePort(t, "udp"), Ready: freePort(t, "tcp"), Links: freePort(t, "udp"),
+		Inspect: freePort(t, "tcp"), MemoryMB: 64, Heartbeat: 1000,
+		Bounds: agatesetup.Bounds{Config: 3000, Drain: 3000, Grace: 2, Lifetime: 60},
+	}}
+	if change != nil {
+		change(e.setup)
+	}
+	sink := agatelogsink.New(e.log)
+	direct := agatedirect.New(e.setup, func() (*agatesetup.Setup, error) { return e.setup, nil }, codec{callers: callers},
+		source, sink, slog.New(slog.NewTextHandler(sink, nil)))
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- direct.Run(ctx) }()
+	e.stop = sync.OnceFunc(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	t.Cleanup(e.stop)
+	return e
+}
+
+// wait waits until the condition holds.
+func wait(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("not seen: %s", what)
+}
+
+// get returns what a path answers.
+func get(address netip.AddrPort, path string) (int, string) {
+	response, err := http.Get("http://" + address.String() + path)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return response.StatusCode, string(body)
+}
+
+func (e *entry) ready() bool {
+	status, _ := get(e.setup.Ready, "/readyz")
+	return status == http.StatusOK
+}
+
+// dump returns the state that the entry shows.
+func (e *entry) dump() agatedump.Dump {
+	e.t.Helper()
+	var d agatedump.Dump
+	_, body := get(e.setup.Inspect, "/state")
+	if err := json.Unmarshal([]byte(body), &d); err != nil {
+		e.t.Fatal(err, body)
+	}
+	return d
+}
+
+var vip = netip.MustParseAddrPort("198.18.0.1:443")
+
+// newStore returns a store with servers at the sockets and one virtual address.
+func newStore(servers ...*net.UDPConn) *store {
+	s := &store{changed: make(chan struct{}), state: agatechange.Changes{Revision: 5, Config: config(1)}}
+	for i, server := range servers {
+		s.state.Instances = append(s.state.Instances, agateinstance.Instance{
+			Key: agateinstance.Key{ID: uint64(i + 1), Born: 1}, Revision: int64(i + 1), Service: "map", Centre: "a", Slots: 3,
+			State: agateinstance.Ready, Address: server.LocalAddr().(*net.UDPAddr).AddrPort(),
+		})
+	}
+	return s
+}
+
+func config(version int64) *agatecatalog.Config {
+	return &agatecatalog.Config{Version: version, VIPs: []agatevip.VIP{{
+		Name: "feeds", Address: vip, Kind: agatevip.Idempotent, Shares: []agatevip.Share{{Service: "map", Weight: 1}},
+	}}}
+}
+
+// caller is a stand-in for a caller with one flow.
+type caller struct {
+	t    *testing.T
+	conn *net.UDPConn
+	flow agatetuple.Tuple
+}
+
+func newCaller(t *testing.T, to netip.AddrPort) *caller {
+	return &caller{t: t, conn: listen(t), flow: agatetuple.Tuple{
+		Source: [4]byte{127, 0, 0, 1}, SourcePort: 4000, Target: to.Addr().As4(), TargetPort: to.Port(),
+	}}
+}
+
+func (c *caller) port() uint16 { return c.conn.LocalAddr().(*net.UDPAddr).AddrPort().Port() }
+
+func (c *caller) send(e *entry, s agatesegment.Segment) {
+	c.t.Helper()
+	s.Flow = c.flow
+	if _, err := c.conn.WriteToUDPAddrPort(encode(s), e.setup.Packets); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// receive returns a segment that arrives at a socket, behind a prefix.
+func receive(t *testing.T, conn *net.UDPConn, prefix int) (agatesegment.Segment, []byte) {
+	t.Helper()
+	buffer := make([]byte, 2048)
+	if err := conn.SetReadDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
+	n, err := conn.Read(buffer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := codec{}.Decode(buffer[prefix:n])
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s, buffer[:prefix]
+}
--- a/entry/process/agatemeter/meter.go
+++ b/entry/process/agatemeter/meter.go
@@ -49,27 +49,21 @@
 // New returns metrics that all stand at 0. dropped returns the number of log
 // lines that were dropped.
 func New(dropped func() uint64) *Meter {
-	verdicts := prometheus.NewCounterVec(prometheus.CounterOpts{
-		Namespace: namespace, Name: "verdicts_total", Help: "Segments of callers, by what decided about them.",
-	}, []string{"reason"})
+	verdicts := counters("verdicts_total", "Segments of callers, by what decided about them.", "reason")
 	m := &Meter{
 		registry:  prometheus.NewRegistry(),
 		verdicts:  make(map[agatesteer.Reason]prometheus.Counter),
 		malformed: counter("malformed_total", "Packets that could not be read."),
-		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: namespace, Name: "store_reads_total", Help: "Reads of the store, by outcome.",
-		}, []string{"outcome"}),
+		reads:     counters("store_reads_total", "Reads of the store, by outcome.", "outcome"),
 		readTime:  histogram("store_read_seconds", "Time that a read of the store took, with its waiting.", 0.004, 12),
 		handled:   histogram("batch_seconds", "Time that a batch of packets took.", 0.00001, 16),
 		flows:     gauge("flows", "Flows that are followed."),
 		version:   gauge("config_version", "Version of the configuration in force."),
 		revision:  gauge("store_revision", "Revision of the store up to which nothing is missing."),
 		confirmed: gauge("confirmed_timestamp_seconds", "Time at which the catalog was last known to be the newest."),
-		servers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Namespace: namespace, Name: "servers", Help: "Backend servers, by state.",
-		}, []string{"state"}),
-		peers: gauge("peers", "Other entries that are known."),
-		start: gauge("start_seconds", "Time from the start of the process to its first catalog."),
+		servers:   gauges("servers", "Backend servers, by state.", "state"),
+		peers:     gauge("peers", "Other entries that are known."),
+		start:     gauge("start_seconds", "Time from the start of the process to its first catalog."),
 	}
 	for _, reason := range agatesteer.Reasons() {
 		m.verdicts[reason] = verdicts.WithLabelValues(string(reason))
@@ -77,13 +71,24 @@
 	m.registry.MustRegister(
 		verdicts, m.malformed, m.reads, m.readTime, m.handled, m.flows, m.version, m.revision,
 		m.confirmed, m.servers, m.peers, m.start,
-		prometheus.NewCounterFunc(prometheus.CounterOpts{
-			Namespace: namespace, Name: "log_dropped_total", Help: "Log lines that were dropped.",
-		}, func() float64 { return float64(dropped()) }),
+		countFunc("log_dropped_total", "Log lines that were dropped.", dropped),
 	)
 	return m
 }
 
+func counters(name, help, label string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, []string{label})
+}
+
+func gauges(name, help, label string) *prometheus.GaugeVec {
+	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, []string{label})
+}
+
+func countFunc(name, help string, count func() uint64) prometheus.CounterFunc {
+	return prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help},
+		func() float64 { return float64(count()) })
+}
+
 func counter(name, help string) prometheus.Counter {
 	return prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
 }
--- a/entry/request/agateexplain/explain_test.go
+++ b/entry/request/agateexplain/explain_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"log/slog"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -44,6 +46,40 @@
 	}
 }
 
+// TestPageNamesEveryKey compares the keys and reasons of the lines with the
+// operators' page, both ways for the reasons.
+func TestPageNamesEveryKey(t *testing.T) {
+	text, err := os.ReadFile("../../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	page := string(text)
+	for _, reason := range agatesteer.Reasons() {
+		if !strings.Contains(page, "`"+string(reason)+"`") {
+			t.Errorf("the page does not name reason %s", reason)
+		}
+	}
+	var out bytes.Buffer
+	now := time.Unix(1000, 0)
+	e := agateexplain.New(slog.New(slog.NewJSONHandler(&out, nil)), now)
+	e.Verdict(&agatesteer.Verdict{Reason: agatesteer.Silent}, now)
+	var line map[string]any
+	if err := json.Unmarshal(out.Bytes(), &line); err != nil {
+		t.Fatal(err)
+	}
+	for _, builtin := range []string{slog.TimeKey, slog.LevelKey, slog.MessageKey} {
+		delete(line, builtin)
+	}
+	if len(line) < 10 {
+		t.Errorf("only %d keys", len(line))
+	}
+	for key := range line {
+		if !strings.Contains(page, "`"+key+"`") {
+			t.Errorf("the page does not name key %s", key)
+		}
+	}
+}
+
 // BenchmarkVerdict takes in ordinary segments.
 func BenchmarkVerdict(b *testing.B) {
 	e := agateexplain.New(slog.New(slog.DiscardHandler), time.Now())
