--- a/entry/process/agateforwarder/forwarder.go
+++ b/entry/process/agateforwarder/forwarder.go
@@ -166,11 +166,14 @@
 // Handle takes a caller's packet. A full ring drops it, as a full socket would.
 func (f *Forwarder) Handle(_ time.Time, _ netip.AddrPort, datagram []byte) {
 	if len(datagram) > maxPacket {
+		f.meter.Lost(agatemeter.Oversized)
 		return
 	}
 	p := f.memory()
 	p.size = copy(p.bytes[:], datagram)
-	f.arrived.Put(p)
+	if !f.arrived.Put(p) {
+		f.meter.Lost(agatemeter.Packets)
+	}
 }
 
 // memory returns memory that is not in use.
--- /dev/null
+++ b/entry/process/agateinspect/inspect_test.go
@@ -0,0 +1,45 @@
+package agateinspect_test
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"agatereach/core/process/agatedump"
+	"agatereach/entry/process/agateinspect"
+)
+
+// get asks an inspector whose dump is the given one, or fails.
+func get(t *testing.T, path string, dump *agatedump.Dump) *httptest.ResponseRecorder {
+	t.Helper()
+	metrics := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTeapot) })
+	inspect := agateinspect.New(metrics, func(ctx context.Context) (agatedump.Dump, error) {
+		if dump == nil {
+			return agatedump.Dump{}, context.DeadlineExceeded
+		}
+		return *dump, nil
+	}, slog.New(slog.DiscardHandler))
+	recorder := httptest.NewRecorder()
+	inspect.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, path, nil))
+	return recorder
+}
+
+func TestInspect(t *testing.T) {
+	if got := get(t, agateinspect.MetricsPath, nil); got.Code != http.StatusTeapot {
+		t.Errorf("metrics: %d", got.Code)
+	}
+	if got := get(t, agateinspect.StatePath, nil); got.Code != http.StatusServiceUnavailable {
+		t.Errorf("no dump: %d", got.Code)
+	}
+	got := get(t, agateinspect.StatePath, &agatedump.Dump{VM: "vm-1", Version: 7})
+	var dump agatedump.Dump
+	if err := json.Unmarshal(got.Body.Bytes(), &dump); err != nil || dump.VM != "vm-1" || dump.Version != 7 {
+		t.Errorf("%s, %v", got.Body, err)
+	}
+	if got := get(t, "/other", nil); got.Code != http.StatusNotFound {
+		t.Errorf("other: %d", got.Code)
+	}
+}
--- a/entry/process/agatekeeper/keeper.go
+++ b/entry/process/agatekeeper/keeper.go
@@ -143,7 +143,9 @@
 		k.log.Debug("link: datagram not understood", "from", from, "error", err)
 		return
 	}
-	k.notices.Put(received{from: from, notice: notice})
+	if !k.notices.Put(received{from: from, notice: notice}) {
+		k.meter.Lost(agatemeter.Notices)
+	}
 }
 
 // Flush ends a batch of datagrams.
--- a/entry/process/agatemeter/meter.go
+++ b/entry/process/agatemeter/meter.go
@@ -29,11 +29,25 @@
 	Failed Outcome = "failed"
 )
 
+// Loss says where a datagram was dropped for want of room.
+type Loss string
+
+// The places of a loss.
+const (
+	// Packets is the ring of callers' packets.
+	Packets Loss = "packets"
+	// Notices is the ring of other entries' notices.
+	Notices Loss = "notices"
+	// Oversized is a caller's packet that is longer than any that is passed on.
+	Oversized Loss = "oversized"
+)
+
 // Meter holds the metrics. It is safe for concurrent use.
 type Meter struct {
 	registry  *prometheus.Registry
 	verdicts  map[agatesteer.Reason]prometheus.Counter
 	malformed prometheus.Counter
+	losses    *prometheus.CounterVec
 	reads     *prometheus.CounterVec
 	readTime  prometheus.Histogram
 	handled   prometheus.Histogram
@@ -54,12 +68,13 @@
 		registry:  prometheus.NewRegistry(),
 		verdicts:  make(map[agatesteer.Reason]prometheus.Counter),
 		malformed: counter("malformed_total", "Packets that could not be read."),
+		losses:    counters("losses_total", "Datagrams dropped for want of room.", "place"),
 		reads:     counters("store_reads_total", "Reads of the store, by outcome.", "outcome"),
 		readTime:  histogram("store_read_seconds", "Time that a read of the store took, with its waiting.", 0.004, 12),
 		handled:   histogram("batch_seconds", "Time that a batch of packets took.", 0.00001, 16),
 		flows:     gauge("flows", "Flows that are followed."),
 		version:   gauge("config_version", "Version of the configuration in force."),
-		revision:  gauge("store_revision", "Revision of the store up to which nothing is missing."),
+		revision:  gauge("catalog_revision", "Revision of the store up to which nothing is missing."),
 		confirmed: gauge("confirmed_timestamp_seconds", "Time at which the catalog was last known to be the newest."),
 		servers:   gauges("servers", "Backend servers, by state.", "state"),
 		peers:     gauge("peers", "Other entries that are known."),
@@ -69,7 +84,7 @@
 		m.verdicts[reason] = verdicts.WithLabelValues(string(reason))
 	}
 	m.registry.MustRegister(
-		verdicts, m.malformed, m.reads, m.readTime, m.handled, m.flows, m.version, m.revision,
+		verdicts, m.malformed, m.losses, m.reads, m.readTime, m.handled, m.flows, m.version, m.revision,
 		m.confirmed, m.servers, m.peers, m.start,
 		countFunc("log_dropped_total", "Log lines that were dropped.", dropped),
 	)
@@ -110,6 +125,9 @@
 // Malformed counts a packet that could not be read.
 func (m *Meter) Malformed() { m.malformed.Inc() }
 
+// Lost counts a datagram that was dropped.
+func (m *Meter) Lost(place Loss) { m.losses.WithLabelValues(string(place)).Inc() }
+
 // Batch notes how long a batch of packets took, and how many flows are followed.
 func (m *Meter) Batch(took time.Duration, flows int) {
 	m.handled.Observe(took.Seconds())
