--- a/core/process/agatesteer/server.go
+++ b/core/process/agatesteer/server.go
@@ -53,6 +53,8 @@
 	busy float64
 	// silence is what is known of it not answering.
 	silence agatesilence.Watch
+	// heldSilent says what was last told of its silence.
+	heldSilent bool
 	// contradicted says that another entry suspects it wrongly and should be told.
 	contradicted bool
 	// reported is the load that other entries state, and suspicions are what
--- a/core/process/agatesteer/silence_test.go
+++ b/core/process/agatesteer/silence_test.go
@@ -378,3 +378,25 @@
 		t.Errorf("%d flows reset, want 1", len(resets))
 	}
 }
+
+// TestOpinions tells once that a server is held silent, and once that it is back.
+func TestOpinions(t *testing.T) {
+	w := newWorld(t)
+	for id := range uint64(4) {
+		w.server(id+1, "a", agateinstance.Ready)
+	}
+	dead, calls := w.silence(16, orders)
+	for _, c := range calls {
+		c.again()
+	}
+	for _, want := range []struct{ changes int }{{1}, {0}} {
+		got := w.steerer.Opinions(w.now)
+		if len(got) != want.changes || want.changes == 1 && (got[0].Server != dead || !got[0].Silent || got[0].Missed < 2) {
+			t.Errorf("%+v", got)
+		}
+	}
+	calls[0].response()
+	if got := w.steerer.Opinions(w.now); len(got) != 1 || got[0].Server != dead || got[0].Silent {
+		t.Errorf("%+v", got)
+	}
+}
--- a/core/process/agatesync/sync.go
+++ b/core/process/agatesync/sync.go
@@ -101,6 +101,18 @@
 // Peers returns the number of other entries that are known.
 func (s *Sync) Peers() int { return len(s.peers) }
 
+// Near returns the names of the other entries of the data centre that are known,
+// in the order of their addresses.
+func (s *Sync) Near() []string {
+	var names []string
+	for _, p := range s.sortedPeers() {
+		if p.live() && p.centre == s.self.Centre {
+			names = append(names, p.name)
+		}
+	}
+	return names
+}
+
 // SetLoads takes what the entry has seen of servers.
 func (s *Sync) SetLoads(loads []agateload.Load) { s.loads = loads }
 
--- a/entry/process/agateforwarder/forwarder.go
+++ b/entry/process/agateforwarder/forwarder.go
@@ -310,6 +310,9 @@
 	}
 	f.flush()
 	f.share(f.steerer.Loads(now), false)
+	for _, o := range f.steerer.Opinions(now) {
+		f.explain.Opinion(o, f.started.Add(now))
+	}
 	f.explain.Tick(f.started.Add(now))
 	if f.malformed > f.told {
 		f.log.Warn("flow: packets not understood", "packets", f.malformed-f.told)
--- a/entry/process/agatekeeper/keeper.go
+++ b/entry/process/agatekeeper/keeper.go
@@ -29,6 +29,8 @@
 	// pauseLimit is the longest time between two ticks that is no pause of the
 	// process. A slow VM of a twentieth of a core is late by less.
 	pauseLimit = time.Second
+	// lookInterval is the time between two looks at which entries are there.
+	lookInterval = time.Second
 	// queue is the number of notices that wait for the goroutine, and batch
 	// that of those sent by one system call.
 	queue = 256
@@ -84,6 +86,12 @@
 	// failure.
 	next  time.Time
 	retry time.Duration
+	// near are the names of the entries of the data centre at the last look, and
+	// looked is when that was.
+	near   map[string]bool
+	looked time.Time
+	// lost says that the store was found to be lost.
+	lost bool
 	// published is the last view that was handed on.
 	published View
 	leave     chan struct{}
@@ -221,6 +229,29 @@
 	k.send(k.sync.Tick(k.now()))
 	k.read(ctx)
 	k.publish()
+	k.look()
+}
+
+// look tells which entries of the data centre were found or lost, from time to
+// time.
+func (k *Keeper) look() {
+	if time.Since(k.looked) < lookInterval {
+		return
+	}
+	k.looked = time.Now()
+	near := make(map[string]bool)
+	for _, name := range k.sync.Near() {
+		near[name] = true
+		if !k.near[name] {
+			k.log.Info("link: entry found", "vm", name)
+		}
+	}
+	for name := range k.near {
+		if !near[name] {
+			k.log.Warn("link: entry lost", "vm", name)
+		}
+	}
+	k.near = near
 }
 
 // receive takes in a notice.
@@ -295,6 +326,10 @@
 		k.failed(r.Err)
 		return
 	}
+	if k.lost {
+		k.lost = false
+		k.log.Info("store: read again", "revision", r.Changes.Revision)
+	}
 	k.retry = k.timing.RetryMin
 	k.next = time.Now().Add(k.timing.Pause)
 	k.listed = true
@@ -329,6 +364,7 @@
 	wait := k.retry/2 + rand.N(k.retry)
 	k.retry = min(2*k.retry, k.timing.RetryMax)
 	k.next = time.Now().Add(wait)
+	k.lost = true
 	k.log.Warn("store: read failed", "error", err, "retry", wait)
 }
 
--- a/entry/request/agateexplain/explain.go
+++ b/entry/request/agateexplain/explain.go
@@ -85,6 +85,19 @@
 	)
 }
 
+// Opinion takes in a change of what is held of a server.
+func (e *Explain) Opinion(o agatesteer.Opinion, now time.Time) {
+	if !e.unusual.AllowN(now, 1) {
+		e.left++
+		return
+	}
+	text := "server: taken back"
+	if o.Silent {
+		text = "server: held silent"
+	}
+	e.log.Info(text, "server", strconv.FormatUint(o.Server, 16), "centre", o.Centre, "missed", o.Missed, "heard", o.Heard)
+}
+
 // Tick logs the counts if that is due.
 func (e *Explain) Tick(now time.Time) {
 	if now.Sub(e.told) < summary {
