Name the time that lapsed registrations have to come back, and drop the setting behind it

It came out at 2.25 s from the servers' heartbeat on every site; the same value now stands as a constant, and the setting heartbeat is needless.

--- a/core/process/agatesetup/setup.go
+++ b/core/process/agatesetup/setup.go
@@ -43,8 +43,6 @@
 	Store netip.AddrPort `toml:"store"`
 	// MemoryMB is the memory that the process may use, in MB.
 	MemoryMB int `toml:"memory"`
-	// Heartbeat is the time between two writes of a server's registration, in ms.
-	Heartbeat int `toml:"heartbeat"`
 	// Bounds are the promised times.
 	Bounds Bounds `toml:"bounds"`
 }
@@ -150,7 +148,6 @@
 	}
 	fault(s.MemoryMB < 1 || s.MemoryMB > maxMemoryMB, "memory", "must be a number of MB")
 	for key, value := range map[string]time.Duration{
-		"heartbeat":       s.HeartbeatTime(),
 		"bounds.config":   s.Bounds.ConfigTime(),
 		"bounds.drain":    s.Bounds.DrainTime(),
 		"bounds.grace":    s.Bounds.GraceTime(),
@@ -168,9 +165,6 @@
 	return &next
 }
 
-// HeartbeatTime returns the time between two writes of a registration.
-func (s *Setup) HeartbeatTime() time.Duration { return time.Duration(s.Heartbeat) * time.Millisecond }
-
 // ConfigTime returns the time until a configuration is in force.
 func (b Bounds) ConfigTime() time.Duration { return time.Duration(b.Config) * time.Millisecond }
 
--- a/core/process/agatesetup/setup_test.go
+++ b/core/process/agatesetup/setup_test.go
@@ -18,7 +18,6 @@
 seeds = ["10.1.0.10:8166", "10.2.0.40:8166"]
 store = "10.200.1.7:8169"
 memory = 284
-heartbeat = 1200
 later = "a setting that is not known yet"
 
 [bounds]
@@ -37,7 +36,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.Name != "vm-1" || len(s.Seeds) != 2 || s.Bounds.GraceTime().Seconds() != 6 || s.HeartbeatTime().Milliseconds() != 1200 {
+	if s.Name != "vm-1" || len(s.Seeds) != 2 || s.Bounds.GraceTime().Seconds() != 6 {
 		t.Errorf("%+v", s)
 	}
 }
@@ -49,7 +48,7 @@
 	if !errors.As(err, &faults) {
 		t.Fatal(err)
 	}
-	for _, key := range []string{"name", "centre", "packets", "ready", "links", "store", "memory", "heartbeat", "bounds.config", "bounds.drain", "bounds.grace", "bounds.lifetime"} {
+	for _, key := range []string{"name", "centre", "packets", "ready", "links", "store", "memory", "bounds.config", "bounds.drain", "bounds.grace", "bounds.lifetime"} {
 		if !strings.Contains(err.Error(), key+" must") {
 			t.Errorf("no fault of %s in %q", key, err)
 		}
--- a/entry/process/agatedirect/direct.go
+++ b/entry/process/agatedirect/direct.go
@@ -45,6 +45,9 @@
 	graceMargin = time.Second
 	// stopCheck is the time between two looks at whether packets still come.
 	stopCheck = 100 * time.Millisecond
+	// registrationReturn is how long after an outage of the store a registration
+	// that lapsed with it may take to come back: servers write about once a second.
+	registrationReturn = 2250 * time.Millisecond
 	// settingsCheck is the time between two looks at whether the settings have
 	// changed without a signal. A look reads one small file.
 	settingsCheck = 5 * time.Second
@@ -165,7 +168,7 @@
 func (d *Direct) merging() agatemerge.Policy {
 	return agatemerge.Policy{
 		Unannounced: d.setup.Bounds.DrainTime() / 3,
-		Outage:      2*d.setup.HeartbeatTime() - d.setup.HeartbeatTime()/8,
+		Outage:      registrationReturn,
 		Memory:      d.setup.Bounds.LifetimeTime(),
 	}
 }
--- a/entry/process/agatedirect/fixture_test.go
+++ b/entry/process/agatedirect/fixture_test.go
@@ -202,7 +202,7 @@
 	t.Helper()
 	e := &entry{t: t, log: &log{}, setup: &agatesetup.Setup{
 		Name: name, Centre: "a", Packets: freePort(t, "udp"), Ready: freePort(t, "tcp"), Links: freePort(t, "udp"),
-		Inspect: freePort(t, "tcp"), MemoryMB: 64, Heartbeat: 1000,
+		Inspect: freePort(t, "tcp"), MemoryMB: 64,
 		Bounds: agatesetup.Bounds{Config: 3000, Drain: 3000, Grace: 2, Lifetime: 60},
 	}}
 	if change != nil {
