Add a fault soak: the platform's program as separate processes among stand-ins

Cause: the platform's program had been shown by the users' bench and by unit tests only; nothing of our own brought faults about from outside while callers judge. bench soak draws kills, stops, pauses, cuts, lossy links, failing stores, crashing and replaced servers and configurations from a seed, in series and overlapping, and judges routes, configuration, drain, flows, doubled runs and recovery from what callers and servers saw. Ruled out: the users' names in bench (the store's stand-in and the packets' format are in platform/), a second flow implementation per end (agatestream serves both).

--- a/bench/agatecommand/command.go
+++ b/bench/agatecommand/command.go
@@ -74,6 +74,7 @@
 		{"run", "Run a scenario", &run{ctx: ctx}, false},
 		{"compare", "Compare policies by a scenario", &compare{ctx: ctx}, false},
 		{"policies", "Compare policies in virtual time", &policies{}, false},
+		{"soak", "Run the entry program of the users' platform under faults", &soak{ctx: ctx}, false},
 		{"relay", "Measure the packet path against a bare relay", &relay{ctx: ctx}, false},
 		{"bare", "Take a bare relay's place", &bareRole{}, true},
 		{"platform", "Take the platform's place", &platformRole{}, true},
--- /dev/null
+++ b/bench/agatefarm/farm.go
@@ -0,0 +1,134 @@
+// Package agatefarm takes the place of the backend servers that answer callers
+// themselves, and notes what reaches them.
+package agatefarm
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"agatereach/bench/agateground"
+	"agatereach/bench/agatepartition"
+	"agatereach/bench/agatepromise"
+	"agatereach/core/request/agatetuple"
+	"agatereach/core/version/agateinstance"
+	"agatereach/platform/agatewire"
+)
+
+// Farm is all servers of a run. It is safe for concurrent use.
+type Farm struct {
+	ground    *agateground.Ground
+	partition *agatepartition.Partition
+	record    *agatepromise.Record
+	wire      agatewire.Wire
+	started   time.Time
+	mutex     sync.Mutex
+	servers   map[agateinstance.Key]*server
+	// owners are the servers at which flows are open.
+	owners map[agatetuple.Tuple]agateinstance.Key
+}
+
+// New returns a farm without servers. Times in the record count from started.
+func New(ground *agateground.Ground, partition *agatepartition.Partition, record *agatepromise.Record, started time.Time) *Farm {
+	return &Farm{
+		ground: ground, partition: partition, record: record, started: started,
+		wire:    agatewire.New(agateground.PacketPort),
+		servers: make(map[agateinstance.Key]*server), owners: make(map[agatetuple.Tuple]agateinstance.Key),
+	}
+}
+
+func (f *Farm) now() time.Duration { return time.Since(f.started) }
+
+// Start starts a server as registered. The error is the socket's.
+func (f *Farm) Start(instance agateinstance.Instance) error {
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(instance.Address))
+	if err != nil {
+		return err
+	}
+	s := &server{
+		farm: f, instance: instance, socket: socket,
+		slots: make(chan struct{}, instance.Slots),
+		ended: make(chan struct{}),
+		flows: make(map[agatetuple.Tuple]chan packet),
+	}
+	f.mutex.Lock()
+	f.servers[instance.Key] = s
+	f.mutex.Unlock()
+	go s.serve()
+	return nil
+}
+
+// find returns a server, nil if it has ended.
+func (f *Farm) find(key agateinstance.Key) *server {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.servers[key]
+}
+
+// Stop ends a server with all its flows.
+func (f *Farm) Stop(key agateinstance.Key) {
+	f.mutex.Lock()
+	s := f.servers[key]
+	delete(f.servers, key)
+	f.mutex.Unlock()
+	if s != nil {
+		s.stop()
+	}
+}
+
+// Freeze makes a server drop all that reaches it, or ends that.
+func (f *Farm) Freeze(key agateinstance.Key, frozen bool) {
+	if s := f.find(key); s != nil {
+		s.frozen.Store(frozen)
+	}
+}
+
+// Drain makes a server close each flow after its next answer.
+func (f *Farm) Drain(key agateinstance.Key) {
+	if s := f.find(key); s != nil {
+		s.draining.Store(true)
+	}
+}
+
+// Close ends all servers.
+func (f *Farm) Close() {
+	f.mutex.Lock()
+	keys := make([]agateinstance.Key, 0, len(f.servers))
+	for key := range f.servers {
+		keys = append(keys, key)
+	}
+	f.mutex.Unlock()
+	for _, key := range keys {
+		f.Stop(key)
+	}
+}
+
+// own notes that a flow is open at a server.
+func (f *Farm) own(flow agatetuple.Tuple, key agateinstance.Key) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.owners[flow] = key
+}
+
+// Owner returns the server at which a flow is open.
+func (f *Farm) Owner(flow agatetuple.Tuple) (agateinstance.Key, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	key, ok := f.owners[flow]
+	return key, ok
+}
+
+// disown notes that a flow has ended at a server.
+func (f *Farm) disown(flow agatetuple.Tuple, key agateinstance.Key) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.owners[flow] == key {
+		delete(f.owners, flow)
+	}
+}
+
+// caller returns where a flow's caller takes packets.
+func caller(flow agatetuple.Tuple) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4(flow.Source), agateground.PacketPort)
+}
--- /dev/null
+++ b/bench/agateplan/plan.go
@@ -0,0 +1,131 @@
+// Package agateplan draws the faults of a run from a seed.
+package agateplan
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"agatereach/bench/agatevalve"
+)
+
+// Kind names a fault or a planned change.
+type Kind string
+
+// The kinds of steps.
+const (
+	// Kill ends an entry's process, which is started again after the step's time.
+	Kill Kind = "kill"
+	// Herd does so with all entries at once.
+	Herd Kind = "herd"
+	// Terminate asks a process to stop, and starts it again once it has.
+	Terminate Kind = "terminate"
+	// Pause stops a process for a time.
+	Pause Kind = "pause"
+	// Reload changes the settings file of an entry, with a signal or without.
+	Reload Kind = "reload"
+	// StoreOne makes the store fail for one entry, StoreSome for about half of
+	// them, and StoreAll for all, each in the step's mode.
+	StoreOne  Kind = "storeone"
+	StoreSome Kind = "storesome"
+	StoreAll  Kind = "storeall"
+	// Compact drops the store's history.
+	Compact Kind = "compact"
+	// Garble writes what is no registration into the store, and takes it away.
+	Garble Kind = "garble"
+	// Lossy makes the datagrams to one entry from the others late and lost.
+	Lossy Kind = "lossy"
+	// Burst makes the callers' packets late, lost, doubled and overtaken.
+	Burst Kind = "burst"
+	// CutEntry cuts an entry off from the others; Deep from the servers too.
+	CutEntry Kind = "cutentry"
+	// CutCentre cuts a data centre off from the others and from the store.
+	CutCentre Kind = "cutcentre"
+	// Crash ends a backend server, which is started again under its id; Deep
+	// servers do not come back, and their address goes to another service.
+	Crash Kind = "crash"
+	// Freeze makes a backend server silent for a time.
+	Freeze Kind = "freeze"
+	// Replace starts a backend server and empties another one.
+	Replace Kind = "replace"
+	// Config changes the configuration, and Storm does so several times.
+	Config Kind = "config"
+	Storm  Kind = "storm"
+)
+
+// kinds are drawn evenly, Herd and the cuts of all more rarely.
+var kinds = []Kind{
+	Kill, Kill, Terminate, Terminate, Pause, Pause, Reload, StoreOne, StoreSome, StoreAll, Compact, Garble,
+	Lossy, Lossy, Burst, CutEntry, CutEntry, CutCentre, Crash, Crash, Freeze, Replace, Replace, Config, Config, Storm, Herd,
+}
+
+// Step is one fault or change.
+type Step struct {
+	// At is when it begins, and For how long it lasts.
+	At, For time.Duration
+	Kind    Kind
+	// Place chooses what it meets, by its remainder.
+	Place uint32
+	// Mode is that of a store that fails.
+	Mode agatevalve.Mode
+	// Deep makes it the harder variant.
+	Deep bool
+}
+
+const (
+	// gap is the time between two steps, on average; series come together.
+	gap = 900 * time.Millisecond
+	// seriesShare is the share of steps that are followed by a series of the same
+	// kind, of up to maxSeries steps a seriesGap apart.
+	seriesShare = 0.15
+	maxSeries   = 4
+	seriesGap   = 300 * time.Millisecond
+	minFor      = 200 * time.Millisecond
+	maxFor      = 5 * time.Second
+)
+
+// New draws the steps from begin to end, in the order of their times. All are
+// over at the end.
+func New(seed uint64, begin, end time.Duration) []Step {
+	random := rand.New(rand.NewPCG(seed, seed^0x5eed))
+	var steps []Step
+	at := begin
+	for {
+		at += time.Duration(random.ExpFloat64() * float64(gap))
+		if at >= end {
+			break
+		}
+		step := draw(random, at, end)
+		steps = append(steps, step)
+		if random.Float64() < seriesShare {
+			steps = append(steps, series(random, step, end)...)
+		}
+	}
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return steps
+}
+
+// draw returns a step at a time.
+func draw(random *rand.Rand, at, end time.Duration) Step {
+	lasts := minFor + time.Duration(random.Float64()*random.Float64()*float64(maxFor-minFor))
+	return Step{
+		At: at, For: min(lasts, end-at), Kind: kinds[random.IntN(len(kinds))], Place: random.Uint32(),
+		Mode: agatevalve.Modes[random.IntN(len(agatevalve.Modes))], Deep: random.IntN(2) == 0,
+	}
+}
+
+// series returns more steps of a kind, each elsewhere.
+func series(random *rand.Rand, first Step, end time.Duration) []Step {
+	var steps []Step
+	for range 1 + random.IntN(maxSeries) {
+		next := first
+		next.At += time.Duration(1+len(steps)) * seriesGap
+		next.Place = random.Uint32()
+		next.For = min(next.For, end-next.At)
+		if next.At < end && first.Kind != Herd {
+			steps = append(steps, next)
+		}
+	}
+	return steps
+}
--- /dev/null
+++ b/bench/agatepromise/judge.go
@@ -0,0 +1,227 @@
+package agatepromise
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"agatereach/core/version/agateinstance"
+)
+
+// strayLimit is the number of a flow's segments at other servers within
+// strayTime from which on the flow counts as misrouted.
+const (
+	strayLimit = 3
+	strayTime  = 2 * time.Second
+)
+
+// Summary counts what was judged, so that a run in which nothing was can be told.
+type Summary struct {
+	// Openings and Resets count what was seen, and Judged those of both whose
+	// entry was in touch.
+	Openings, Resets, Judged int
+	Runs                     int
+	// Requests counts all of them, and Answered those that were.
+	Requests, Answered int
+	// After counts the requests after the recovery, and AfterAnswered those answered.
+	After, AfterAnswered int
+}
+
+// Judge returns the findings in the order of their times. It is called once, at
+// the end of the run.
+func (r *Record) Judge() ([]Finding, Summary) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var sum Summary
+	slices.SortFunc(r.openings, func(a, b Opening) int { return cmp.Compare(a.Arrived, b.Arrived) })
+	r.judgeOpenings(&sum)
+	r.judgeResets(&sum)
+	r.judgeStrays()
+	r.judgeRuns(&sum)
+	r.judgeRequests(&sum)
+	slices.SortStableFunc(r.findings, func(a, b Finding) int { return cmp.Compare(a.At, b.At) })
+	return r.findings, sum
+}
+
+// calm reports whether none of the spans lies in the time of the bound before to,
+// or between from and to.
+func (r *Record) calm(spans []span, from, to time.Duration) bool {
+	return !slices.ContainsFunc(spans, func(s span) bool {
+		return s.from <= to && s.to+r.bounds.Stable >= from
+	})
+}
+
+// inTouch reports whether an entry was in touch from a moment to another.
+func (r *Record) inTouch(entry string, from, to time.Duration) bool {
+	return r.calm(r.disturbed[""], from, to) && r.calm(r.disturbed[entry], from, to)
+}
+
+// inForce returns the versions that may decide on what was sent and arrived at
+// the given times.
+func (r *Record) inForce(sent, arrived time.Duration) []version {
+	first := 0
+	for i := range r.versions {
+		if i > 0 && r.versions[i].at <= sent-r.bounds.Config {
+			first = i
+		}
+	}
+	last := first
+	for last < len(r.versions) && (last == first || r.versions[last].at <= arrived) {
+		last++
+	}
+	return r.versions[first:last]
+}
+
+func (r *Record) judgeOpenings(sum *Summary) {
+	sum.Openings = len(r.openings)
+	seen := make(map[string]effect)
+	for i := range r.openings {
+		o := &r.openings[i]
+		if !slices.ContainsFunc(r.versions, func(v version) bool { return v.allows(o.Flow.Service(), o.Service) }) {
+			r.find(Route, o.Arrived, "flow %v reached service %s, which no configuration names", o.Flow, o.Service)
+			continue
+		}
+		r.judgeRollback(o, seen)
+		if !r.inTouch(o.Entry, o.Sent, o.Arrived) {
+			continue
+		}
+		sum.Judged++
+		allowed := slices.ContainsFunc(r.inForce(o.Sent, o.Arrived), func(v version) bool {
+			return v.allows(o.Flow.Service(), o.Service)
+		})
+		if !allowed {
+			r.find(Config, o.Arrived, "flow %v sent at %v went by %s to service %s, as only an older version allows", o.Flow, o.Sent, o.Entry, o.Service)
+		}
+		if left, ok := r.left[o.Server]; ok && o.Arrived > left+r.bounds.Drain {
+			r.find(Drain, o.Arrived, "flow %v went by %s to server %x, which left at %v", o.Flow, o.Entry, o.Server.ID, left)
+		}
+	}
+}
+
+// effect is the newest version whose effect a process has shown.
+type effect struct {
+	boot   time.Duration
+	number int64
+	at     time.Duration
+}
+
+// judgeRollback finds a process that acts by an older version than it has acted by.
+func (r *Record) judgeRollback(o *Opening, seen map[string]effect) {
+	oldest, newest := int64(0), int64(0)
+	for _, v := range r.versions {
+		if v.at > o.Arrived || !v.allows(o.Flow.Service(), o.Service) {
+			continue
+		}
+		if oldest == 0 {
+			oldest = v.number
+		}
+		newest = v.number
+	}
+	boot := r.boot(o.Entry, o.Sent)
+	known := seen[o.Entry]
+	if known.boot != boot {
+		known = effect{boot: boot}
+	}
+	if newest > 0 && newest < known.number && o.Sent > known.at+r.bounds.Rollback && boot == r.boot(o.Entry, o.Arrived) {
+		r.find(Config, o.Arrived, "%s sent flow %v by version %d or older, after version %d", o.Entry, o.Flow, newest, known.number)
+	}
+	if oldest > known.number {
+		known.number, known.at = oldest, o.Arrived
+	}
+	seen[o.Entry] = known
+}
+
+// boot returns when the process started that an entry ran at a moment.
+func (r *Record) boot(entry string, at time.Duration) time.Duration {
+	last := time.Duration(0)
+	for _, started := range r.started[entry] {
+		if started <= at {
+			last = started
+		}
+	}
+	return last
+}
+
+func (r *Record) judgeResets(sum *Summary) {
+	sum.Resets = len(r.resets)
+	for i := range r.resets {
+		reset := &r.resets[i]
+		if !r.inTouch(reset.Entry, reset.Sent, reset.At) {
+			continue
+		}
+		sum.Judged++
+		if !r.routed(reset.Flow.Service(), reset.Sent, reset.At) {
+			continue
+		}
+		switch {
+		case !reset.Open:
+			r.find(Config, reset.At, "flow %v was refused by %s, though its address is configured", reset.Flow, reset.Entry)
+		case r.lives(reset.Server, reset.At) && reset.At-reset.Opened < r.bounds.Lifetime && reset.At-reset.Sent < r.bounds.Idle:
+			r.find(Flow, reset.At, "flow %v was reset by %s, though its server %x lives", reset.Flow, reset.Entry, reset.Server.ID)
+		}
+	}
+}
+
+// routed reports whether all versions that may decide name the address.
+func (r *Record) routed(address netip.AddrPort, sent, arrived time.Duration) bool {
+	return !slices.ContainsFunc(r.inForce(sent, arrived), func(v version) bool {
+		_, ok := v.vips[address]
+		return !ok
+	})
+}
+
+// lives reports whether nothing has disturbed a server lately.
+func (r *Record) lives(server agateinstance.Key, at time.Duration) bool {
+	return r.calm(r.troubled[server], at, at)
+}
+
+func (r *Record) judgeStrays() {
+	for flow, strays := range r.strays {
+		for i := range strays {
+			last := i + strayLimit - 1
+			if last >= len(strays) || strays[last].at-strays[i].at > strayTime {
+				continue
+			}
+			s := strays[i]
+			if r.inTouch(s.entry, s.at, strays[last].at) && r.lives(s.own, strays[last].at) {
+				r.find(Flow, s.at, "segments of flow %v went by %s to another server than %x", flow, s.entry, s.own.ID)
+				break
+			}
+		}
+	}
+}
+
+func (r *Record) judgeRuns(sum *Summary) {
+	sum.Runs = len(r.runs)
+	ran := make(map[uint64]bool)
+	for _, each := range r.runs {
+		if !slices.ContainsFunc(r.versions, func(v version) bool { return v.allows(each.address, each.service) }) {
+			r.find(Route, each.at, "request %x for %v ran at service %s, which no configuration names", each.id, each.address, each.service)
+		}
+		if each.once && ran[each.id] {
+			r.find(Twice, each.at, "request %x ran more than once", each.id)
+		}
+		ran[each.id] = true
+	}
+}
+
+func (r *Record) judgeRequests(sum *Summary) {
+	from := r.faultsEnd + r.bounds.Recover
+	for _, each := range r.requests {
+		sum.Requests++
+		if each.answered {
+			sum.Answered++
+		}
+		if each.asked < from {
+			continue
+		}
+		sum.After++
+		if each.answered {
+			sum.AfterAnswered++
+		}
+	}
+	if float64(sum.AfterAnswered) < r.bounds.Served*float64(sum.After) {
+		r.find(Recovery, from, "%d of %d requests were answered after the last fault", sum.AfterAnswered, sum.After)
+	}
+}
--- /dev/null
+++ b/bench/agatesoak/steps.go
@@ -0,0 +1,200 @@
+package agatesoak
+
+import (
+	"fmt"
+	"slices"
+	"syscall"
+	"time"
+
+	"agatereach/bench/agatefault"
+	"agatereach/bench/agateground"
+	"agatereach/bench/agateplan"
+	"agatereach/bench/agatepromise"
+	"agatereach/bench/agatevalve"
+)
+
+// Faults of the paths.
+var (
+	lossy = agatefault.Fault{Loss: 0.3, Reorder: 0.1, Delay: 5 * time.Millisecond, Jitter: 60 * time.Millisecond}
+	burst = agatefault.Fault{Loss: 0.05, Dup: 0.05, Reorder: 0.1, Jitter: 5 * time.Millisecond}
+)
+
+// StartError reports entries that did not become ready.
+type StartError struct {
+	// Ready is the number of those that are, and Entries that of all.
+	Ready, Entries int
+}
+
+// Error gives both numbers.
+func (e *StartError) Error() string {
+	return fmt.Sprintf("%d of %d entries are ready", e.Ready, e.Entries)
+}
+
+// wanted reports whether steps of a kind are made.
+func wanted(only []agateplan.Kind, kind agateplan.Kind) bool {
+	return len(only) == 0 || slices.Contains(only, kind)
+}
+
+// makeSteps makes each step at its time and waits until all are over.
+func (s *soak) makeSteps(steps []agateplan.Step) {
+	for _, step := range steps {
+		if !s.sleep(step.At - s.now()) {
+			break
+		}
+		if s.options.Told != nil {
+			s.options.Told(s.now(), step)
+		}
+		s.steps.Add(1)
+		go func() {
+			defer s.steps.Done()
+			s.make(step)
+		}()
+	}
+	s.steps.Wait()
+}
+
+// make makes one step and returns when it is over.
+func (s *soak) make(step agateplan.Step) {
+	place := 1 + int(step.Place)%s.options.Entries
+	e := s.entries[place]
+	switch step.Kind {
+	case agateplan.Kill:
+		s.kill(step, e)
+	case agateplan.Herd:
+		s.herd(step)
+	case agateplan.Terminate:
+		s.terminate(e)
+	case agateplan.Pause:
+		s.disturb(step, place)
+		e.pause(1)
+		s.sleep(step.For)
+		e.pause(-1)
+	case agateplan.Reload:
+		s.reload(step, e)
+	case agateplan.StoreOne, agateplan.StoreSome, agateplan.StoreAll:
+		s.failStore(step, place)
+	case agateplan.Compact:
+		s.record.Disturbed("", s.now(), s.now())
+		s.store.Compact()
+	case agateplan.Garble:
+		s.store.Garble(uint64(step.Place))
+		s.sleep(step.For)
+		s.store.Remove(uint64(step.Place))
+	case agateplan.Lossy:
+		s.disturb(step, place)
+		s.detour.Path(place).Set(lossy)
+		s.sleep(step.For)
+		s.detour.Path(place).Set(agatefault.Fault{})
+	case agateplan.Burst:
+		s.disturb(step, 0)
+		s.crowd.Path().Set(burst)
+		s.sleep(step.For)
+		s.crowd.Path().Set(agatefault.Fault{})
+	case agateplan.CutEntry:
+		s.disturb(step, place)
+		heal := s.partition.CutEntry(place, step.Deep)
+		s.sleep(step.For)
+		heal()
+	case agateplan.CutCentre:
+		s.cutCentre(step, place)
+	default:
+		s.makeServerStep(step)
+	}
+}
+
+// disturb notes that the entry at a place, or all for 0, is disturbed by a step.
+func (s *soak) disturb(step agateplan.Step, place int) {
+	name := ""
+	if place > 0 {
+		name = agateground.VM(place)
+	}
+	s.record.Disturbed(name, s.now(), s.now()+step.For)
+}
+
+// restart is the time in which a process is ready again.
+const restart = time.Second
+
+// kill ends the entry's process, and starts it again after the step's time.
+func (s *soak) kill(step agateplan.Step, e *entry) {
+	s.record.Disturbed(agateground.VM(e.place), s.now(), s.now()+step.For+restart)
+	e.kill()
+	s.sleep(step.For)
+	s.start(e)
+}
+
+// herd kills all processes at once.
+func (s *soak) herd(step agateplan.Step) {
+	for _, e := range s.entries {
+		s.steps.Add(1)
+		go func() {
+			defer s.steps.Done()
+			s.kill(step, e)
+		}()
+	}
+}
+
+// terminate asks the entry's process to stop and starts it again.
+func (s *soak) terminate(e *entry) {
+	name := agateground.VM(e.place)
+	asked := s.now()
+	child := e.leave()
+	if child == nil {
+		return
+	}
+	// A process that is paused stops once it goes on.
+	if !child.Wait(grace + maxPause) {
+		s.record.Broke(agatepromise.Process, s.now(), "%s did not stop within %v", name, grace)
+		child.Kill()
+	}
+	e.left()
+	s.start(e)
+	s.record.Disturbed(name, asked, s.now()+restart)
+}
+
+// maxPause is the longest time for which a step pauses a process.
+const maxPause = 5 * time.Second
+
+// reload changes the seeds in the entry's settings.
+func (s *soak) reload(step agateplan.Step, e *entry) {
+	if err := s.configure(e, int(step.Place%1000)); err != nil {
+		s.fail(err)
+		return
+	}
+	if step.Deep {
+		e.signal(syscall.SIGHUP)
+	}
+}
+
+// failStore makes the store fail for some entries.
+func (s *soak) failStore(step agateplan.Step, place int) {
+	var places []int
+	for each := 1; each <= s.options.Entries; each++ {
+		half := step.Kind == agateplan.StoreSome && (uint32(each)+step.Place)%2 == 0
+		if step.Kind == agateplan.StoreAll || half || each == place {
+			places = append(places, each)
+		}
+	}
+	if step.Kind == agateplan.StoreAll {
+		s.disturb(step, 0)
+	}
+	for _, each := range places {
+		s.disturb(step, each)
+		s.valves[each].Set(step.Mode)
+	}
+	s.sleep(step.For)
+	for _, each := range places {
+		s.valves[each].Set(agatevalve.Open)
+	}
+}
+
+// cutCentre cuts off the data centre of a place.
+func (s *soak) cutCentre(step agateplan.Step, place int) {
+	centre := s.ground.Centre(place)
+	s.disturb(step, 0)
+	for _, server := range s.registered() {
+		s.record.Troubled(server.Key, s.now(), s.now()+step.For)
+	}
+	heal := s.partition.CutCentre(centre)
+	s.sleep(step.For)
+	heal()
+}
--- a/core/request/agatetuple/tuple.go
+++ b/core/request/agatetuple/tuple.go
@@ -28,6 +28,11 @@
 	return netip.AddrPortFrom(netip.AddrFrom4(t.Target), t.TargetPort)
 }
 
+// Reverse returns the flow as its other end names it.
+func (t Tuple) Reverse() Tuple {
+	return Tuple{Source: t.Target, Target: t.Source, SourcePort: t.TargetPort, TargetPort: t.SourcePort}
+}
+
 // Hash returns a number that is the same for the flow in every process.
 func (t Tuple) Hash() uint64 {
 	hash := uint64(binary.BigEndian.Uint32(t.Source[:]))<<32 | uint64(binary.BigEndian.Uint32(t.Target[:]))
