Place fewer flows at servers whose answers look like failures

Answers cannot be read, but acknowledgements tell their size. agateanswer weighs a short answer against how often answers at that address are short anyway; evidence is shared between entries and forgotten within seconds, so that the server is tried again.

--- a/bench/agatecommand/soak.go
+++ b/bench/agatecommand/soak.go
@@ -20,6 +20,7 @@
 	Entries int              `long:"entries" default:"9" description:"number of entry processes"`
 	Callers int              `long:"callers" default:"9" description:"number of callers' addresses, with 6 users each"`
 	Only    []agateplan.Kind `long:"only" description:"make only steps of this kind; may be given several times"`
+	Program string           `long:"program" description:"path of the entry program; built if not given"`
 	JSON    bool             `long:"json" description:"print a JSON object a run"`
 	Keep    bool             `long:"keep" description:"keep settings and logs, and say where"`
 	Verbose bool             `long:"verbose" description:"print each step"`
@@ -30,7 +31,7 @@
 	var broken error
 	for seed := s.Seed; seed < s.Seed+s.Runs; seed++ {
 		report, err := agatesoak.Run(s.ctx, agatesoak.Options{
-			Seed: seed, Length: s.For, Entries: s.Entries, Callers: s.Callers, Only: s.Only, Keep: s.Keep, Told: s.told(),
+			Seed: seed, Length: s.For, Entries: s.Entries, Callers: s.Callers, Only: s.Only, Program: s.Program, Keep: s.Keep, Told: s.told(),
 		})
 		if err != nil {
 			return err
--- a/bench/agatesoak/soak.go
+++ b/bench/agatesoak/soak.go
@@ -65,6 +65,8 @@
 	Entries, Callers int
 	// Only leaves out the steps of other kinds, if it is not empty.
 	Only []agateplan.Kind
+	// Program is the entry program; empty for one that is built.
+	Program string
 	// Keep keeps settings and logs.
 	Keep bool
 	// Told is called with each step as it is made.
@@ -180,7 +182,10 @@
 	if s.directory, err = os.MkdirTemp("", "agatesoak-"); err != nil {
 		return err
 	}
-	s.binary, err = build(s.ctx, s.directory)
+	s.binary = s.options.Program
+	if s.binary == "" {
+		s.binary, err = build(s.ctx, s.directory)
+	}
 	return err
 }
 
--- a/core/connection/agatetrack/flow.go
+++ b/core/connection/agatetrack/flow.go
@@ -29,6 +29,9 @@
 	// Requested says that a request has begun, and Responded that its answer
 	// has begun to arrive. Both may be set, for two requests.
 	Requested, Responded bool
+	// Size is the number of bytes that the acknowledgement of a Responded
+	// covers: the answer, or the beginning of a long one.
+	Size uint32
 	// Repeated says that the segment was sent before, and not answered since
 	// the time Since.
 	Repeated bool
@@ -123,9 +126,12 @@
 		f.acknowledged = s.Acknowledged
 		e.Opened, e.Answered = true, true
 	case s.Flags.Has(agatesegment.ACK) && agatesegment.After(s.Acknowledged, f.acknowledged):
-		f.acknowledged = s.Acknowledged
 		e.Answered = true
 		e.Responded = f.Waiting
+		if e.Responded {
+			e.Size = s.Acknowledged - f.acknowledged
+		}
+		f.acknowledged = s.Acknowledged
 		f.Waiting = false
 	}
 }
--- a/core/connection/agatetrack/table_test.go
+++ b/core/connection/agatetrack/table_test.go
@@ -50,11 +50,11 @@
 		{1 * ms, agatesegment.Segment{Sequence: 99, Flags: agatesegment.SYN}, agatetrack.Event{}},
 		{7 * ms, agatesegment.Segment{Sequence: 100, Acknowledged: 500, Flags: ack}, agatetrack.Event{Opened: true, Answered: true}},
 		{8 * ms, agatesegment.Segment{Sequence: 100, Acknowledged: 500, Length: 200, Flags: ack}, agatetrack.Event{Requested: true}},
-		{50 * ms, agatesegment.Segment{Sequence: 300, Acknowledged: 1700, Flags: ack}, agatetrack.Event{Answered: true, Responded: true}},
+		{50 * ms, agatesegment.Segment{Sequence: 300, Acknowledged: 1700, Flags: ack}, agatetrack.Event{Answered: true, Responded: true, Size: 1200}},
 		{52 * ms, agatesegment.Segment{Sequence: 300, Acknowledged: 2100, Flags: ack}, agatetrack.Event{Answered: true}},
 		{90 * ms, agatesegment.Segment{Sequence: 300, Acknowledged: 2100, Length: 100, Flags: ack}, agatetrack.Event{Requested: true}},
-		{95 * ms, agatesegment.Segment{Sequence: 400, Acknowledged: 2700, Length: 50, Flags: ack}, agatetrack.Event{Answered: true, Responded: true, Requested: true}},
-		{99 * ms, agatesegment.Segment{Sequence: 450, Acknowledged: 2900, Flags: ack | agatesegment.FIN}, agatetrack.Event{Answered: true, Responded: true, Ended: true}},
+		{95 * ms, agatesegment.Segment{Sequence: 400, Acknowledged: 2700, Length: 50, Flags: ack}, agatetrack.Event{Answered: true, Responded: true, Size: 600, Requested: true}},
+		{99 * ms, agatesegment.Segment{Sequence: 450, Acknowledged: 2900, Flags: ack | agatesegment.FIN}, agatetrack.Event{Answered: true, Responded: true, Size: 200, Ended: true}},
 		{100 * ms, agatesegment.Segment{Sequence: 451, Acknowledged: 2901, Flags: ack}, agatetrack.Event{Answered: true}},
 	})
 	if f.Requests != 3 || f.Waiting || f.Phase != agatetrack.Closed {
--- a/core/process/agatedump/dump.go
+++ b/core/process/agatedump/dump.go
@@ -49,6 +49,8 @@
 	// answer since it was last heard.
 	Silent bool `json:"silent"`
 	Missed int  `json:"missed"`
+	// Failing is the share of its answers that are taken for failures, 0 to 1.
+	Failing float64 `json:"failing"`
 	// Heard is the time since its last sign of life; negative if there was none.
 	Heard time.Duration `json:"heard"`
 }
--- a/core/process/agatepick/pick.go
+++ b/core/process/agatepick/pick.go
@@ -16,6 +16,8 @@
 	Silent bool
 	// Tried says that the flow was given to it before, without an answer.
 	Tried bool
+	// Failing is the share of its answers that are failures, from 0 to 1.
+	Failing float64
 }
 
 // Policy holds the weights.
@@ -23,6 +25,9 @@
 	// Distance is the load for each unit of capacity by which a server of
 	// another data centre must be the better one.
 	Distance float64
+	// Failing is the load for each unit of capacity that a server which fails
+	// all its requests must be the better one by.
+	Failing float64
 	// MaxSilent is the share of the own data centre's servers, from 0 to 1,
 	// that may be left out as silent: beyond it the fault is rather the
 	// entry's own.
@@ -85,7 +90,7 @@
 
 // cost returns the load for each unit of capacity once the flow is there.
 func (p Policy) cost(c *Candidate) float64 {
-	cost := (c.Load + 1) / c.Capacity
+	cost := (c.Load+1)/c.Capacity + p.Failing*c.Failing
 	if c.Remote {
 		cost += p.Distance
 	}
--- a/core/process/agatepick/pick_test.go
+++ b/core/process/agatepick/pick_test.go
@@ -8,7 +8,7 @@
 	"agatereach/core/process/agatepick"
 )
 
-var policy = agatepick.Policy{Distance: 0.5, MaxSilent: 0.5}
+var policy = agatepick.Policy{Distance: 0.5, Failing: 8, MaxSilent: 0.5}
 
 func first() float64 { return 0 }
 
@@ -26,6 +26,8 @@
 		{"silent", []agatepick.Candidate{{Capacity: 3, Silent: true}, {Load: 5, Capacity: 3}, {Load: 4, Capacity: 3}}, 2},
 		{"tried", []agatepick.Candidate{{Capacity: 3, Tried: true}, {Load: 5, Capacity: 3}}, 1},
 		{"all tried", []agatepick.Candidate{{Load: 1, Capacity: 3, Tried: true}, {Capacity: 3, Tried: true}}, 1},
+		{"failing", []agatepick.Candidate{{Capacity: 3, Failing: 0.5}, {Load: 6, Capacity: 3}}, 1},
+		{"all failing", []agatepick.Candidate{{Load: 1, Capacity: 3, Failing: 0.5}, {Capacity: 3, Failing: 0.5}}, 1},
 		{"only silent", []agatepick.Candidate{{Capacity: 3, Silent: true}}, 0},
 		{"too many silent", []agatepick.Candidate{{Capacity: 3, Silent: true}, {Load: 1, Capacity: 3, Silent: true}, {Load: 2, Capacity: 3}}, 0},
 		{"other data centre silent", []agatepick.Candidate{
--- a/core/process/agatesteer/dump.go
+++ b/core/process/agatesteer/dump.go
@@ -22,7 +22,8 @@
 		ID: known.instance.ID, Born: known.instance.Born, Service: known.instance.Service,
 		Address: known.instance.Address, Centre: known.instance.Centre, State: known.instance.State,
 		Waiting: len(known.waiting) + len(known.opening), Open: known.open, Others: known.reported.waiting,
-		Silent: s.unreachable(known) || known.silence.Suspected(s.policy.Silence),
-		Missed: known.silence.Missing().Flows, Heard: agatedump.Since(known.silence.LastHeard(), now),
+		Silent:  s.unreachable(known) || known.silence.Suspected(s.policy.Silence),
+		Failing: known.evidence().Failing(s.policy.Answers),
+		Missed:  known.silence.Missing().Flows, Heard: agatedump.Since(known.silence.LastHeard(), now),
 	}
 }
--- a/core/process/agatesteer/note.go
+++ b/core/process/agatesteer/note.go
@@ -31,6 +31,20 @@
 	if event.Requested {
 		u.requests++
 	}
+	if event.Responded {
+		s.judge(on, u, event.Size)
+	}
+}
+
+// judge takes the size of an answer into the evidence on its server. What is usual
+// is learnt from servers that are not held to fail.
+func (s *Steerer) judge(on *server, u *usage, size uint32) {
+	p := s.policy.Answers
+	held := on.evidence().Held(p)
+	on.failing = on.failing.Add(u.usual.Judge(size, p), p)
+	if !held {
+		u.usual.Learn(size, p)
+	}
 }
 
 // firmRepeats is the number of segments of a flow sent again from which on it is
--- a/core/process/agatesteer/policy.go
+++ b/core/process/agatesteer/policy.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"agatereach/core/process/agateanswer"
 	"agatereach/core/process/agatepick"
 	"agatereach/core/process/agatesilence"
 )
@@ -41,8 +42,10 @@
 	Transit time.Duration
 	// Pick holds the weights of the choice of a server.
 	Pick agatepick.Policy
-	// Silence holds the thresholds for silent servers.
+	// Silence holds the thresholds for silent servers, and Answers those for
+	// servers that fail while they answer.
 	Silence agatesilence.Policy
+	Answers agateanswer.Policy
 }
 
 // DefaultPolicy returns the policy of deployments that state nothing else.
@@ -59,7 +62,7 @@
 		Fresh:     2 * time.Second,
 		Recent:    5 * time.Second,
 		Transit:   20 * time.Millisecond,
-		Pick:      agatepick.Policy{Distance: 0.7, MaxSilent: 0.5},
+		Pick:      agatepick.Policy{Distance: 0.7, Failing: 5, MaxSilent: 0.5},
 		Silence: agatesilence.Policy{
 			Suspect:  2,
 			Confirm:  3,
@@ -69,5 +72,18 @@
 			Retry:    time.Second,
 			RetryMax: 4 * time.Second,
 		},
+		Answers: agateanswer.Policy{
+			// Answers with content vary by less; refusals and errors carry a head only.
+			Short:  0.45,
+			Failed: 0.5,
+			Least:  0.02,
+			Limit:  6,
+			// A short answer where none was short counts for 3.2.
+			Even: 3,
+			// At a Decay each 100 ms, half is forgotten in 3.4 s: then the server is
+			// tried again.
+			Memory: 0.98,
+			Told:   2,
+		},
 	}
 }
--- a/core/process/agatesteer/server.go
+++ b/core/process/agatesteer/server.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"agatereach/core/connection/agatetrack"
+	"agatereach/core/process/agateanswer"
 	"agatereach/core/process/agatesilence"
 	"agatereach/core/version/agateinstance"
 )
@@ -57,6 +58,10 @@
 	heldSilent bool
 	// contradicted says that another entry suspects it wrongly and should be told.
 	contradicted bool
+	// failing is what the answers that this entry has seen say of it, and
+	// heldFailing what was last told.
+	failing     agateanswer.Evidence
+	heldFailing bool
 	// reported is the load that other entries state, and suspicions are what
 	// they say of answers that it owes.
 	reported   reported
@@ -68,6 +73,8 @@
 	// waiting and open are sums over the entries; waiting is smoothed, since
 	// what was under way when they wrote is over when it is read.
 	waiting, open float64
+	// failing is the sum of their evidence from answers.
+	failing agateanswer.Evidence
 }
 
 // usage is what an entry has learnt of the flows to a virtual address.
@@ -80,6 +87,8 @@
 	// flows and requests are smoothed counts; their ratio tells how many
 	// requests a flow brings.
 	flows, requests float64
+	// usual is what the answers are like.
+	usual agateanswer.Usual
 }
 
 // busyWeight is the weight of one sample in smoothed numbers; at a sample each
@@ -106,6 +115,9 @@
 // long. Flows of one request have 1; a lost segment does not make it 1.5.
 const longRequests = 1.5
 
+// evidence returns what this and other entries hold of the server's answers.
+func (s *server) evidence() agateanswer.Evidence { return s.failing + s.reported.failing }
+
 // capacity returns the number of requests that the server runs at full speed.
 func (s *server) capacity(p *Policy, now time.Duration) float64 {
 	slots := float64(s.instance.Slots)
--- a/core/process/agatesteer/share.go
+++ b/core/process/agatesteer/share.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"agatereach/core/process/agateanswer"
 	"agatereach/core/process/agatesilence"
 	"agatereach/core/request/agateload"
 	"agatereach/core/version/agatecatalog"
@@ -26,7 +27,7 @@
 func (s *Steerer) Loads(now time.Duration) []agateload.Load {
 	var loads []agateload.Load
 	for _, each := range s.servers {
-		if load, ok := each.own(now); ok {
+		if load, ok := each.own(&s.policy, now); ok {
 			loads = append(loads, load)
 		}
 	}
@@ -42,7 +43,7 @@
 			continue
 		}
 		each.contradicted = false
-		if load, ok := each.own(now); ok {
+		if load, ok := each.own(&s.policy, now); ok {
 			loads = append(loads, load)
 		}
 	}
@@ -54,10 +55,11 @@
 
 // own returns what this entry has seen of a server; false if others need not
 // know.
-func (s *server) own(now time.Duration) (agateload.Load, bool) {
+func (s *server) own(p *Policy, now time.Duration) (agateload.Load, bool) {
 	missed := s.silence.Own()
 	doubted := missed.Flows > 0 || len(s.suspicions) > 0
-	if s.token == 0 || s.busy < minStated && s.open == 0 && !doubted {
+	failing := s.failing.Telling(p.Answers)
+	if s.token == 0 || s.busy < minStated && s.open == 0 && !doubted && !failing {
 		return agateload.Load{}, false
 	}
 	load := agateload.Load{
@@ -67,6 +69,9 @@
 		Missed:  uint8(missed.Flows),
 		Firm:    uint8(missed.Firm),
 	}
+	if failing {
+		load.Failing = agateload.Parts(float64(s.failing))
+	}
 	if seen := s.silence.LastSeen(); seen > 0 && doubted {
 		load.Heard = agateload.Age(now - seen)
 	}
@@ -131,6 +136,7 @@
 func (r *reported) add(load agateload.Load, sign float64) {
 	r.waiting += sign * float64(load.Waiting) / agateload.Unit
 	r.open += sign * float64(load.Open)
+	r.failing += agateanswer.Evidence(sign * agateload.Whole(load.Failing))
 }
 
 // retract drops what another entry has stated.
--- a/core/process/agatesteer/share_test.go
+++ b/core/process/agatesteer/share_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"agatereach/core/process/agatesteer"
+
 	"agatereach/core/request/agateload"
 	"agatereach/core/version/agateinstance"
 )
@@ -84,12 +86,12 @@
 	}
 	for _, want := range []struct{ changes int }{{1}, {0}} {
 		got := w.steerer.Opinions(w.now)
-		if len(got) != want.changes || want.changes == 1 && (got[0].Server != dead || !got[0].Silent || got[0].Missed < 2) {
+		if len(got) != want.changes || want.changes == 1 && (got[0].Server != dead || got[0].Belief != agatesteer.HeldSilent || got[0].Missed < 2) {
 			t.Errorf("%+v", got)
 		}
 	}
 	calls[0].response()
-	if got := w.steerer.Opinions(w.now); len(got) != 1 || got[0].Server != dead || got[0].Silent {
+	if got := w.steerer.Opinions(w.now); len(got) != 1 || got[0].Server != dead || got[0].Belief != agatesteer.TakenBack {
 		t.Errorf("%+v", got)
 	}
 }
--- a/core/process/agatesteer/steer.go
+++ b/core/process/agatesteer/steer.go
@@ -305,6 +305,7 @@
 			Remote:   each.instance.Centre != s.centre,
 			Silent:   s.silent(each, now),
 			Tried:    f.Owner.hasTried(each),
+			Failing:  each.evidence().Failing(s.policy.Answers),
 		})
 	}
 	place := s.policy.Pick.Pick(s.candidates, s.random)
--- a/core/process/agatesteer/tick.go
+++ b/core/process/agatesteer/tick.go
@@ -24,6 +24,7 @@
 	var resets []Verdict
 	for _, each := range s.servers {
 		each.sample()
+		each.failing = each.failing.Decay(s.policy.Answers)
 		resets = append(resets, s.giveUp(each, now)...)
 	}
 	return resets
--- a/core/process/agatesteer/world_test.go
+++ b/core/process/agatesteer/world_test.go
@@ -149,7 +149,15 @@
 func (c *call) again() agatesteer.Verdict { return c.send(c.last) }
 
 // response takes in an answer and acknowledges it.
-func (c *call) response() agatesteer.Verdict {
-	c.acknowledged += 600
+func (c *call) response() agatesteer.Verdict { return c.responseOf(600) }
+
+// responseOf takes in an answer of a size in bytes.
+func (c *call) responseOf(size uint32) agatesteer.Verdict {
+	c.acknowledged += size
 	return c.send(agatesegment.Segment{Sequence: c.sequence, Acknowledged: c.acknowledged, Flags: agatesegment.ACK, Token: c.token})
 }
+
+// finish closes the caller's end.
+func (c *call) finish() agatesteer.Verdict {
+	return c.send(agatesegment.Segment{Sequence: c.sequence, Acknowledged: c.acknowledged, Flags: agatesegment.ACK | agatesegment.FIN, Token: c.token})
+}
--- a/core/request/agateload/load.go
+++ b/core/request/agateload/load.go
@@ -19,8 +19,20 @@
 	Missed uint8  `cbor:"5,keyasint,omitempty"`
 	Firm   uint8  `cbor:"7,keyasint,omitempty"`
 	Since  uint32 `cbor:"6,keyasint,omitempty"`
+	// Failing is the evidence that its answers are failures, in tenths; 0 if they
+	// are as usual.
+	Failing uint8 `cbor:"8,keyasint,omitempty"`
 }
 
+// tenth is the part of the evidence that Load.Failing counts in.
+const tenth = 10
+
+// Parts returns evidence in the unit of the field.
+func Parts(evidence float64) uint8 { return uint8(min(max(evidence, 0)*tenth, 1<<8-1)) }
+
+// Whole returns the field as evidence.
+func Whole(parts uint8) float64 { return float64(parts) / tenth }
+
 // Unit is the part of a request that Load.Waiting counts in.
 const Unit = 100
 
--- a/entry/request/agateexplain/explain.go
+++ b/entry/request/agateexplain/explain.go
@@ -91,11 +91,8 @@
 		e.left++
 		return
 	}
-	text := "server: taken back"
-	if o.Silent {
-		text = "server: held silent"
-	}
-	e.log.Info(text, "server", strconv.FormatUint(o.Server, 16), "centre", o.Centre, "missed", o.Missed, "heard", o.Heard)
+	e.log.Info("server: "+string(o.Belief),
+		"server", strconv.FormatUint(o.Server, 16), "centre", o.Centre, "missed", o.Missed, "heard", o.Heard, "failing", o.Failing)
 }
 
 // Tick logs the counts if that is due.
