Tell entries what has changed of the configuration, compressed, within their links

Ruled out: the store (slow, but read), processor time. agatediff holds what differs between two versions, deflated (one datagram for one of 11,000 addresses, 250 KB at most for all); parts of one change combine whoever sends them; a change is pushed to as many peers as the link bears, the others ask; answers take a tenth of the link.

--- a/core/process/agatenotice/notice.go
+++ b/core/process/agatenotice/notice.go
@@ -5,12 +5,10 @@
 import (
 	"fmt"
 	"net/netip"
-	"time"
 
 	"agatereach/core/request/agatecodec"
 	"agatereach/core/request/agateload"
 	"agatereach/core/version/agateinstance"
-	"agatereach/core/version/agatevip"
 )
 
 // Limits on what a notice may hold, so that it fits into one datagram and a
@@ -23,6 +21,10 @@
 	maxItems = 1 << 10
 	maxParts = 1 << 12
 	maxName  = 256
+	// maxPieces and maxPiece bound the parts of a change of the configuration and
+	// the bytes of each: that of 11,000 addresses takes a quarter of the parts.
+	maxPieces = 1 << 10
+	maxPiece  = 2 << 10
 )
 
 // FieldError reports a field that breaks its invariant.
@@ -42,7 +44,7 @@
 	Ask *Ask `cbor:"2,keyasint,omitempty"`
 	// Page holds registrations.
 	Page *Page `cbor:"3,keyasint,omitempty"`
-	// Part holds virtual addresses.
+	// Part holds a piece of a change of the configuration.
 	Part *Part `cbor:"4,keyasint,omitempty"`
 }
 
@@ -96,17 +98,20 @@
 	Instances []agateinstance.Instance `cbor:"5,keyasint,omitempty"`
 }
 
-// Part is one of the datagrams that bring a configuration.
+// Part is one of the datagrams that bring a change of the configuration.
 type Part struct {
-	// Version is the configuration's version.
+	// From and Version are the versions that the change leads from and to; From
+	// is 0 for a whole configuration.
+	From    int64 `cbor:"6,keyasint,omitempty"`
 	Version int64 `cbor:"1,keyasint"`
 	// Index is the part's place, and Total the number of parts.
 	Index int `cbor:"2,keyasint"`
 	Total int `cbor:"3,keyasint"`
-	// IdleTimeout is the configuration's.
-	IdleTimeout time.Duration `cbor:"4,keyasint,omitempty"`
-	// VIPs are the part's virtual addresses.
-	VIPs []agatevip.VIP `cbor:"5,keyasint,omitempty"`
+	// Sum is a checksum of the whole change, by which parts of one change that
+	// come from several senders are told from those of another.
+	Sum uint32 `cbor:"4,keyasint"`
+	// Data is the part's piece of the change in its wire form; not empty.
+	Data []byte `cbor:"5,keyasint"`
 }
 
 // Encode returns the datagram.
@@ -196,14 +201,9 @@
 }
 
 func (p *Part) check() error {
-	if p.Version <= 0 || !fits(p.Index, p.Total) || p.IdleTimeout < 0 || len(p.VIPs) > maxItems {
+	if p.From < 0 || p.Version <= p.From || !fits(p.Index, p.Total) || p.Total > maxPieces || len(p.Data) == 0 || len(p.Data) > maxPiece {
 		return &FieldError{Field: "part"}
 	}
-	for _, vip := range p.VIPs {
-		if err := vip.Check(); err != nil {
-			return err
-		}
-	}
 	return nil
 }
 
--- a/core/process/agatenotice/notice_test.go
+++ b/core/process/agatenotice/notice_test.go
@@ -11,7 +11,6 @@
 	"agatereach/core/process/agatenotice"
 	"agatereach/core/request/agateload"
 	"agatereach/core/version/agateinstance"
-	"agatereach/core/version/agatevip"
 )
 
 var address = netip.MustParseAddrPort("10.0.0.1:7720")
@@ -31,9 +30,7 @@
 }
 
 func part() *agatenotice.Part {
-	return &agatenotice.Part{Version: 2, Index: 0, Total: 1, VIPs: []agatevip.VIP{{
-		Name: "feeds", Address: address, Kind: agatevip.Idempotent, Shares: []agatevip.Share{{Service: "map", Weight: 1}},
-	}}}
+	return &agatenotice.Part{From: 1, Version: 2, Index: 0, Total: 1, Sum: 7, Data: []byte{1, 2, 3}}
 }
 
 func TestRoundTrip(t *testing.T) {
@@ -68,7 +65,10 @@
 		"backwards":  spoilt(func(n *agatenotice.Notice) { n.Beat, n.Part, n.Page.To = nil, nil, 0 }),
 		"instance":   spoilt(func(n *agatenotice.Notice) { n.Beat, n.Part, n.Page.Instances[0].Slots = nil, nil, 0 }),
 		"no version": spoilt(func(n *agatenotice.Notice) { n.Beat, n.Page, n.Part.Version = nil, nil, 0 }),
-		"vip":        spoilt(func(n *agatenotice.Notice) { n.Beat, n.Page, n.Part.VIPs[0].Kind = nil, nil, "any" }),
+		"part back":  spoilt(func(n *agatenotice.Notice) { n.Beat, n.Page, n.Part.From = nil, nil, 2 }),
+		"no data":    spoilt(func(n *agatenotice.Notice) { n.Beat, n.Page, n.Part.Data = nil, nil, nil }),
+		"long data":  spoilt(func(n *agatenotice.Notice) { n.Beat, n.Page, n.Part.Data = nil, nil, make([]byte, 3000) }),
+		"many parts": spoilt(func(n *agatenotice.Notice) { n.Beat, n.Page, n.Part.Total = nil, nil, 3000 }),
 		"ask":        {Ask: &agatenotice.Ask{After: -1}},
 	} {
 		datagram, err := n.Encode()
--- a/core/process/agatesetup/setup.go
+++ b/core/process/agatesetup/setup.go
@@ -18,6 +18,8 @@
 const (
 	maxMemoryMB = 1 << 20
 	maxDuration = time.Hour
+	// maxLink is the fastest link that is believed, in Mbit/s.
+	maxLink = 1e6
 )
 
 // Setup holds the settings of a process.
@@ -43,6 +45,8 @@
 	Store netip.AddrPort `toml:"store"`
 	// MemoryMB is the memory that the process may use, in MB.
 	MemoryMB int `toml:"memory"`
+	// Link is what the VM's link bears, in Mbit/s; 0 if it is not known.
+	Link float64 `toml:"link"`
 	// Bounds are the promised times.
 	Bounds Bounds `toml:"bounds"`
 }
@@ -146,6 +150,7 @@
 	} {
 		fault(!address.IsValid() || !address.Addr().Is4() || address.Port() == 0, key, "must be an IPv4 address with a port")
 	}
+	fault(!(s.Link >= 0) || s.Link > maxLink, "link", "must be a number of Mbit/s, or left out")
 	fault(s.MemoryMB < 1 || s.MemoryMB > maxMemoryMB, "memory", "must be a number of MB")
 	for key, value := range map[string]time.Duration{
 		"bounds.config":   s.Bounds.ConfigTime(),
@@ -165,6 +170,9 @@
 	return &next
 }
 
+// LinkBytes returns what the link bears in bytes a second, 0 if it is not known.
+func (s *Setup) LinkBytes() int { return int(s.Link * 1e6 / 8) }
+
 // ConfigTime returns the time until a configuration is in force.
 func (b Bounds) ConfigTime() time.Duration { return time.Duration(b.Config) * time.Millisecond }
 
--- a/core/process/agatesetup/setup_test.go
+++ b/core/process/agatesetup/setup_test.go
@@ -18,6 +18,7 @@
 seeds = ["10.1.0.10:8166", "10.2.0.40:8166"]
 store = "10.200.1.7:8169"
 memory = 284
+link = 1000.0
 later = "a setting that is not known yet"
 
 [bounds]
@@ -43,12 +44,12 @@
 
 // TestFaults lists all faults at once, each with its key.
 func TestFaults(t *testing.T) {
-	_, err := agatesetup.Parse("x", []byte("memory = -1\npackets = \"[::1]:5\"\n"))
+	_, err := agatesetup.Parse("x", []byte("memory = -1\nlink = -1.0\npackets = \"[::1]:5\"\n"))
 	var faults *agatesetup.FaultsError
 	if !errors.As(err, &faults) {
 		t.Fatal(err)
 	}
-	for _, key := range []string{"name", "centre", "packets", "ready", "links", "store", "memory", "bounds.config", "bounds.drain", "bounds.grace", "bounds.lifetime"} {
+	for _, key := range []string{"name", "centre", "packets", "ready", "links", "store", "memory", "link", "bounds.config", "bounds.drain", "bounds.grace", "bounds.lifetime"} {
 		if !strings.Contains(err.Error(), key+" must") {
 			t.Errorf("no fault of %s in %q", key, err)
 		}
--- a/core/process/agatesync/fleet_test.go
+++ b/core/process/agatesync/fleet_test.go
@@ -97,6 +97,9 @@
 	deaf, cut bool
 	// next is when it reads the store next.
 	next time.Duration
+	// sent is when its link has sent what waits, and bytes what it has sent.
+	sent  time.Duration
+	bytes int
 }
 
 // transit is a notice on its way.
@@ -117,6 +120,9 @@
 	random  *rand.Rand
 	// loss is the share of notices that are lost.
 	loss float64
+	// link is the number of bytes that an entry's link sends in a second, 0 for
+	// any; more than linkQueue of waiting is lost.
+	link int
 	// bytes and posts count what was sent.
 	bytes, posts int
 }
@@ -189,13 +195,29 @@
 		}
 		f.posts++
 		f.bytes += len(datagram)
-		if e.cut || f.random.Float64() < f.loss {
+		e.bytes += len(datagram)
+		if e.cut || f.random.Float64() < f.loss || !f.transmit(e, len(datagram)) {
 			continue
 		}
-		f.way = append(f.way, transit{at: f.now + step, from: e.address, send: send})
+		f.way = append(f.way, transit{at: max(f.now, e.sent) + step, from: e.address, send: send})
 	}
 }
 
+// linkQueue is how long datagrams may wait for an entry's link.
+const linkQueue = 100 * time.Millisecond
+
+// transmit puts a datagram on an entry's link, and reports false if it is lost.
+func (f *fleet) transmit(e *entry, size int) bool {
+	if f.link == 0 {
+		return true
+	}
+	if e.sent-f.now > linkQueue {
+		return false
+	}
+	e.sent = max(e.sent, f.now) + time.Duration(size)*time.Second/time.Duration(f.link)
+	return true
+}
+
 // deliver hands over what has arrived.
 func (f *fleet) deliver() {
 	var later, due []transit
--- a/core/process/agatesync/page.go
+++ b/core/process/agatesync/page.go
@@ -8,14 +8,10 @@
 	"agatereach/core/version/agatecatalog"
 	"agatereach/core/version/agatechange"
 	"agatereach/core/version/agateinstance"
-	"agatereach/core/version/agatevip"
 )
 
-// Sizes of encoded values in bytes, about, without their texts.
-const (
-	instanceSize = 64
-	vipSize      = 48
-)
+// instanceSize is the size of an encoded record in bytes, about, without its texts.
+const instanceSize = 64
 
 // collection holds the pages of one answer that have come. Those of two senders
 // are cut at other places.
@@ -48,28 +44,6 @@
 	return notices
 }
 
-// configParts returns the parts that bring a catalog's configuration.
-func (s *Sync) configParts(catalog *agatecatalog.Catalog) []agatenotice.Notice {
-	config := catalog.Config()
-	if config == nil {
-		return nil
-	}
-	groups := split(config.VIPs, s.policy.PageSize, func(v agatevip.VIP) int {
-		size := vipSize + len(v.Name)
-		for _, share := range v.Shares {
-			size += len(share.Service) + 12
-		}
-		return size
-	})
-	notices := make([]agatenotice.Notice, len(groups))
-	for i, group := range groups {
-		notices[i].Part = &agatenotice.Part{
-			Version: config.Version, Index: i, Total: len(groups), IdleTimeout: config.IdleTimeout, VIPs: group,
-		}
-	}
-	return notices
-}
-
 // split cuts items into groups of about the given size; at least one, which may
 // be empty.
 func split[T any](items []T, limit int, size func(T) int) [][]T {
@@ -121,30 +95,3 @@
 	}
 	return all
 }
-
-// parts holds the parts of a configuration that have come.
-type parts struct {
-	version int64
-	total   int
-	come    map[int][]agatevip.VIP
-}
-
-// receivePart takes in a part. The configuration is adopted once it is whole.
-func (s *Sync) receivePart(p *agatenotice.Part, now time.Duration) {
-	if p.Version <= s.Catalog().Version() || p.Version < s.parts.version {
-		return
-	}
-	if s.parts.version != p.Version || s.parts.total != p.Total {
-		s.parts = parts{version: p.Version, total: p.Total, come: make(map[int][]agatevip.VIP)}
-	}
-	s.parts.come[p.Index] = p.VIPs
-	if len(s.parts.come) < p.Total {
-		return
-	}
-	config := &agatecatalog.Config{Version: p.Version, IdleTimeout: p.IdleTimeout}
-	for i := range p.Total {
-		config.VIPs = append(config.VIPs, s.parts.come[i]...)
-	}
-	s.parts = parts{}
-	s.merger.Apply(agatechange.Changes{Config: config}, now)
-}
--- a/core/process/agatesync/policy.go
+++ b/core/process/agatesync/policy.go
@@ -33,6 +33,9 @@
 	Behind, Differ time.Duration
 	// AskAgain is the time after which an unanswered question is repeated.
 	AskAgain time.Duration
+	// Link is the number of bytes a second that answers to other entries may
+	// take, and Burst that at once.
+	Link, Burst int
 	// PageSize is the number of bytes of registrations or virtual addresses in
 	// a datagram, about.
 	PageSize int
@@ -59,7 +62,25 @@
 		Behind:      60 * time.Millisecond,
 		Differ:      bound / 6,
 		AskAgain:    250 * time.Millisecond,
+		Link:        smallestLink / linkShare,
+		Burst:       smallestLink / linkShare / 2,
 		// A datagram of an Ethernet frame, less heads and the page's own fields.
 		PageSize: 1100,
 	}
 }
+
+const (
+	// smallestLink is the number of bytes a second of the smallest VMs' links,
+	// 10 Mbit/s.
+	smallestLink = 10_000_000 / 8
+	// linkShare is the part of the link that answers may take.
+	linkShare = 10
+)
+
+// WithLink returns the policy of an entry whose link bears a number of bytes a
+// second.
+func (p Policy) WithLink(bytes int) Policy {
+	p.Link = bytes / linkShare
+	p.Burst = p.Link / 2
+	return p
+}
--- a/core/process/agatesync/sync.go
+++ b/core/process/agatesync/sync.go
@@ -74,9 +74,19 @@
 	// asked is when the last question was sent, and whole when the last one for
 	// everything was.
 	asked, whole time.Duration
-	// pages and parts are those that have come of an answer.
-	pages collection
-	parts parts
+	// pages are those that have come of an answer, and changes those changes of
+	// the configuration whose parts are coming, oldest first.
+	pages   collection
+	changes []*change
+	// configs are the last configurations, oldest first, and encoded the parts
+	// that lead to the newest one by the version that they lead from.
+	configs []*agatecatalog.Config
+	encoded map[int64][]agatenotice.Notice
+	// left is the number of bytes that answers may take, as of refilled.
+	left     int
+	refilled time.Duration
+	// malformed counts changes that came whole and could not be read.
+	malformed uint64
 	// leaving says that the process is about to end.
 	leaving bool
 }
@@ -87,7 +97,7 @@
 	return &Sync{
 		self: self, policy: policy, merger: merger, random: random, seeds: seeds,
 		peers: make(map[netip.AddrPort]*peer), urgent: make(map[uint32]agateload.Load), sought: -policy.Seek, asked: -policy.AskAgain,
-		whole: -policy.Differ, beaten: -policy.Beat,
+		whole: -policy.Differ, beaten: -policy.Beat, left: policy.Burst,
 	}
 }
 
@@ -160,13 +170,11 @@
 	}
 	notices := s.pagesSince(after, before)
 	if after.Version() != before.Version() {
-		notices = append(notices, s.configParts(after)...)
+		notices = append(notices, s.partsSince(before.Version())...)
 	}
 	var sends []Send
-	for _, p := range s.near() {
-		for _, notice := range notices {
-			sends = append(sends, Send{To: p.address, Notice: notice})
-		}
+	for _, p := range s.pushTo(len(notices)) {
+		sends = append(sends, sendAll(p.address, notices)...)
 	}
 	return sends
 }
@@ -272,14 +280,11 @@
 	case ask.After < catalog.Revision():
 		notices = s.pagesOf(newer(catalog, ask.After), ask.After, catalog.Revision())
 	}
-	if ask.Version < catalog.Version() {
-		notices = append(notices, s.configParts(catalog)...)
-	}
-	sends := make([]Send, len(notices))
-	for i, notice := range notices {
-		sends[i] = Send{To: to, Notice: notice}
+	notices = append(notices, s.partsSince(ask.Version)...)
+	if len(notices) == 0 || !s.afford(len(notices)) {
+		return nil
 	}
-	return sends
+	return sendAll(to, notices)
 }
 
 // newer returns the records after a revision, also of those that are gone.
--- a/core/process/agatesync/sync_test.go
+++ b/core/process/agatesync/sync_test.go
@@ -233,3 +233,71 @@
 		f.store.configure(version, rapid.IntRange(1, 60).Draw(r, "vips"))
 	}
 }
+
+// smallestLink is that of the smallest VMs, 10 Mbit/s, in bytes a second.
+const smallestLink = 10_000_000 / 8
+
+// configured returns a data centre on small links whose entries hold a
+// configuration.
+func configured(t *testing.T, vips int) *fleet {
+	f := newFleet(t, 1, 30, 7)
+	f.link = smallestLink
+	f.servers(150)
+	f.store.configure(1, vips)
+	f.run(8 * time.Second)
+	f.check("before the change")
+	for _, e := range f.entries {
+		e.bytes = 0
+	}
+	return f
+}
+
+// most returns the most bytes that an entry has sent.
+func (f *fleet) most() int {
+	most := 0
+	for _, e := range f.entries {
+		most = max(most, e.bytes)
+	}
+	return most
+}
+
+// TestBigConfig adds 1,500 virtual addresses at once: all entries hold them within
+// the bound, less what the store may take, though links are slow and lose what
+// waits for long.
+func TestBigConfig(t *testing.T) {
+	f := configured(t, 240)
+	f.store.configure(2, 1740)
+	f.run(bound * 2 / 3)
+	f.check("after the change")
+	if limit := smallestLink / 2; f.most() > limit {
+		t.Errorf("an entry has sent %d bytes, want %d at most", f.most(), limit)
+	}
+}
+
+// TestSmallChange changes one of 1,740 virtual addresses: the bytes follow what
+// has changed.
+func TestSmallChange(t *testing.T) {
+	f := configured(t, 1740)
+	f.store.configure(2, 1741)
+	f.run(time.Second)
+	f.check("after the change")
+	// What heartbeats may take in the second, and one datagram for each peer.
+	if limit := 2*agatesync.DefaultPolicy(bound).Rate + 30*300; f.most() > limit {
+		t.Errorf("an entry has sent %d bytes, want %d at most", f.most(), limit)
+	}
+}
+
+// TestChangesInARow makes changes faster than they spread, and starts an entry
+// among them.
+func TestChangesInARow(t *testing.T) {
+	f := configured(t, 300)
+	for version := int64(2); version < 40; version++ {
+		f.store.configure(version, 300+int(version)%7)
+		if version == 20 {
+			f.add(5, "a")
+		}
+		f.run(60 * time.Millisecond)
+	}
+	f.run(bound * 2 / 3)
+	f.check("after the changes")
+}
--- a/core/version/agatevip/vip.go
+++ b/core/version/agatevip/vip.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -74,6 +75,11 @@
 	return nil
 }
 
+// Equal reports whether two virtual addresses are the same in all fields.
+func (v VIP) Equal(o VIP) bool {
+	return v.Name == o.Name && v.Address == o.Address && v.Kind == o.Kind && v.Timeout == o.Timeout && slices.Equal(v.Shares, o.Shares)
+}
+
 // Service returns the service for a fraction in [0, 1).
 func (v VIP) Service(fraction float64) string {
 	total := 0.0
--- a/entry/process/agatedirect/direct.go
+++ b/entry/process/agatedirect/direct.go
@@ -164,6 +164,15 @@
 	return min(d.setup.Bounds.ConfigTime(), d.setup.Bounds.DrainTime())
 }
 
+// syncing returns the policy for what entries tell each other.
+func (d *Direct) syncing() agatesync.Policy {
+	policy := agatesync.DefaultPolicy(d.bound())
+	if link := d.setup.LinkBytes(); link > 0 {
+		policy = policy.WithLink(link)
+	}
+	return policy
+}
+
 // merging returns the policy for registrations that vanish.
 func (d *Direct) merging() agatemerge.Policy {
 	return agatemerge.Policy{
@@ -185,7 +194,7 @@
 	// The clock starts above 0, which means never.
 	started := time.Now().Add(-time.Second)
 	self := agatesync.Self{Name: d.setup.Name, Centre: d.setup.Centre, Address: d.setup.Links, Boot: rand.Uint64() | 1}
-	sync := agatesync.New(self, d.seeds(d.setup), agatesync.DefaultPolicy(d.bound()), agatemerge.New(d.merging()), rand.Float64)
+	sync := agatesync.New(self, d.seeds(d.setup), d.syncing(), agatemerge.New(d.merging()), rand.Float64)
 	var p parts
 	p.reader = agatestorereader.New(d.source)
 	share := func(loads []agateload.Load, urgent bool) {
--- a/entry/process/agatekeeper/keeper.go
+++ b/entry/process/agatekeeper/keeper.go
@@ -73,6 +73,8 @@
 	// looked is when that was.
 	near   map[string]bool
 	looked time.Time
+	// malformed is the number of changes that were told of as unreadable.
+	malformed uint64
 	// lost says that the store was found to be lost.
 	lost bool
 	// published is the last view that was handed on.
@@ -224,6 +226,10 @@
 		}
 	}
 	k.near = near
+	if malformed := k.sync.Malformed(); malformed > k.malformed {
+		k.log.Warn("link: changes not understood", "changes", malformed-k.malformed)
+		k.malformed = malformed
+	}
 }
 
 // receive takes in a notice.
