Change catalogs in parts, so that a change takes time for what has changed

Short answers say little until an address has been seen for a while (TestNew: servers were held to fail soon after a start).

--- a/core/process/agateanswer/answer.go
+++ b/core/process/agateanswer/answer.go
@@ -59,8 +59,13 @@
 	// longer, which failures do not reach even where half of all answers fail.
 	rise = 0.09
 	fall = 0.03
-	// shareWeight is the weight of one answer in the usual share of short ones.
+	// shareWeight is the least weight of one answer in the usual share of short
+	// ones.
 	shareWeight = 0.003
+	// firstShare is the share that is assumed before any answer, counted as
+	// firstAnswers of them: while little is known, short answers say little.
+	firstShare   = 0.4
+	firstAnswers = 30
 )
 
 // Usual is what the answers at a virtual address are usually like. The zero
@@ -68,8 +73,9 @@
 type Usual struct {
 	// size is the usual size in bytes; 0 before the first answer.
 	size float64
-	// short is the usual share of short answers, from 0 to 1.
-	short float64
+	// short is the usual share of short answers, from 0 to 1, in a number of
+	// answers.
+	short, answers float64
 }
 
 // Judge returns what an answer of a size in bytes says of its server.
@@ -86,14 +92,15 @@
 // Learn takes in the size of an answer of a server that is not held to fail.
 func (u *Usual) Learn(size uint32, p Policy) {
 	if u.size == 0 {
-		u.size = float64(size)
+		u.size, u.short = float64(size), firstShare
 		return
 	}
 	short := 0.0
 	if u.isShort(size, p) {
 		short = 1
 	}
-	u.short += (short - u.short) * shareWeight
+	u.answers++
+	u.short += (short - u.short) * max(shareWeight, 1/(u.answers+firstAnswers))
 	switch {
 	case float64(size) > u.size:
 		u.size = min(u.size*(1+rise), float64(size))
--- a/core/process/agateanswer/answer_test.go
+++ b/core/process/agateanswer/answer_test.go
@@ -142,6 +142,28 @@
 	}
 }
 
+// TestNew plays an address whose first answers vary: no server is held to fail
+// while little is known of them.
+func TestNew(t *testing.T) {
+	held := 0
+	for seed := range uint64(50) {
+		s := newService(10)
+		s.random = rand.New(rand.NewPCG(seed, 3))
+		for i := range 100 {
+			s.answer(i%10, s.varied(2000))
+		}
+		for _, e := range s.servers {
+			if e.Held(policy) {
+				held++
+			}
+		}
+	}
+	// Of 500 servers.
+	if held > 5 {
+		t.Errorf("%d servers are held to fail", held)
+	}
+}
+
 // TestBounds draws answers: the share of failures stays from 0 to 1, and falls to
 // nothing once a server answers nothing.
 func TestBounds(t *testing.T) {
--- a/core/process/agatemerge/merge.go
+++ b/core/process/agatemerge/merge.go
@@ -51,6 +51,7 @@
 	return &Merger{
 		policy:  policy,
 		catalog: &agatecatalog.Catalog{},
+		dated:   &agatecatalog.Catalog{},
 		lapsed:  make(map[agateinstance.Key]lapse),
 		gone:    make(map[agateinstance.Key]time.Duration),
 		failed:  -policy.Outage,
@@ -118,7 +119,7 @@
 		listed[record.ID] = true
 	}
 	var removed []agatechange.Removal
-	for _, instance := range m.catalog.Instances() {
+	for instance := range m.catalog.All() {
 		if !listed[instance.ID] && instance.State != agateinstance.Gone && instance.Revision <= c.Revision {
 			removed = append(removed, agatechange.Removal{ID: instance.ID, Revision: c.Revision})
 		}
@@ -189,13 +190,15 @@
 	if m.catalog == m.dated {
 		return
 	}
+	changed := m.catalog.Changed(m.dated)
 	m.dated = m.catalog
-	for _, instance := range m.catalog.Instances() {
-		if instance.State != agateinstance.Gone {
+	for _, key := range changed {
+		instance, held := m.catalog.Instance(key)
+		if !held || instance.State != agateinstance.Gone {
 			continue
 		}
-		if _, dated := m.gone[instance.Key]; !dated {
-			m.gone[instance.Key] = now
+		if _, dated := m.gone[key]; !dated {
+			m.gone[key] = now
 		}
 	}
 }
--- a/core/process/agatesteer/steer.go
+++ b/core/process/agatesteer/steer.go
@@ -5,6 +5,7 @@
 package agatesteer
 
 import (
+	"slices"
 	"time"
 
 	"agatereach/core/connection/agatetrack"
@@ -75,15 +76,14 @@
 	if catalog == s.catalog {
 		return
 	}
+	changed := catalog.Changed(s.catalog)
 	s.catalog = catalog
-	held := make(map[agateinstance.Key]bool)
-	clear(s.services)
-	for _, instance := range catalog.Instances() {
-		held[instance.Key] = true
-		s.enter(instance, now)
-	}
-	for key, each := range s.servers {
-		if !held[key] {
+	for _, key := range changed {
+		if instance, held := catalog.Instance(key); held {
+			s.enter(instance, now)
+			continue
+		}
+		if each := s.servers[key]; each != nil {
 			s.forget(key, each)
 		}
 	}
@@ -106,6 +106,7 @@
 	if instance.Revision != known.instance.Revision {
 		known.warm = now + instance.Cold
 	}
+	s.unlist(known)
 	known.instance = instance
 	known.token, _ = s.catalog.Token(instance.Key)
 	if instance.State == agateinstance.Ready && known.token != 0 {
@@ -113,9 +114,16 @@
 	}
 }
 
+// unlist takes a server off those that its service gives new flows to.
+func (s *Steerer) unlist(known *server) {
+	service := known.instance.Service
+	s.services[service] = slices.DeleteFunc(s.services[service], func(o *server) bool { return o == known })
+}
+
 // forget drops a server that the catalog no longer holds.
 func (s *Steerer) forget(key agateinstance.Key, gone *server) {
 	delete(s.servers, key)
+	s.unlist(gone)
 	s.flows.Each(func(f *flow) {
 		if f.Owner.server == gone {
 			s.assign(f, nil)
--- a/core/process/agatesync/sync.go
+++ b/core/process/agatesync/sync.go
@@ -187,7 +187,7 @@
 		return s.everything(after)
 	}
 	var changed []agateinstance.Instance
-	for _, instance := range after.Instances() {
+	for instance := range after.All() {
 		former, ok := before.Instance(instance.Key)
 		if !ok || former != instance || instance.Revision > before.Revision() {
 			changed = append(changed, instance)
@@ -289,7 +289,11 @@
 
 // newer returns the records after a revision, also of those that are gone.
 func newer(catalog *agatecatalog.Catalog, after int64) []agateinstance.Instance {
-	return slices.DeleteFunc(catalog.Instances(), func(i agateinstance.Instance) bool {
-		return i.Revision <= after
-	})
+	var found []agateinstance.Instance
+	for instance := range catalog.All() {
+		if instance.Revision > after {
+			found = append(found, instance)
+		}
+	}
+	return found
 }
--- a/core/version/agatecatalog/catalog.go
+++ b/core/version/agatecatalog/catalog.go
@@ -4,11 +4,14 @@
 package agatecatalog
 
 import (
+	"cmp"
+	"iter"
 	"maps"
 	"net/netip"
 	"slices"
 
 	"agatereach/core/version/agateinstance"
+	"agatereach/core/version/agateshard"
 	"agatereach/core/version/agatevip"
 )
 
@@ -33,14 +36,14 @@
 	// vips are the virtual addresses of config by address.
 	vips map[netip.AddrPort]agatevip.VIP
 	// instances are all incarnations that are held, also those that are gone.
-	instances map[agateinstance.Key]agateinstance.Instance
+	instances agateshard.Map[agateinstance.Key, agateinstance.Instance]
 	// newest is the key of the newest incarnation of each id.
-	newest map[uint64]agateinstance.Key
+	newest agateshard.Map[uint64, agateinstance.Key]
 	// tokens are the incarnations that a token may stand for; more than one
 	// is a collision.
-	tokens map[uint32][]agateinstance.Key
+	tokens agateshard.Map[uint32, []agateinstance.Key]
 	// holders are the incarnations in service by address.
-	holders map[netip.AddrPort]agateinstance.Key
+	holders agateshard.Map[netip.AddrPort, agateinstance.Key]
 	// digest is the exclusive or of the digests of all instances.
 	digest uint64
 	// floor is the revision from which on the removals are known as instances
@@ -80,13 +83,12 @@
 
 // Instance returns an incarnation.
 func (c *Catalog) Instance(key agateinstance.Key) (agateinstance.Instance, bool) {
-	instance, ok := c.instances[key]
-	return instance, ok
+	return c.instances.Get(key)
 }
 
 // Newest returns the newest incarnation of a server's id.
 func (c *Catalog) Newest(id uint64) (agateinstance.Instance, bool) {
-	key, ok := c.newest[id]
+	key, ok := c.newest.Get(id)
 	if !ok {
 		return agateinstance.Instance{}, false
 	}
@@ -96,23 +98,47 @@
 // Replaced reports whether the incarnation is known to have ended: its server
 // has started anew, or another server has its address.
 func (c *Catalog) Replaced(instance agateinstance.Instance) bool {
-	latest, held := c.newest[instance.ID]
-	holder, taken := c.holders[instance.Address]
+	latest, held := c.newest.Get(instance.ID)
+	holder, taken := c.holders.Get(instance.Address)
 	return held && latest.Born > instance.Born || taken && holder != instance.Key
 }
 
 // Instances returns all incarnations that are held, in the order of their ids
 // and starts.
 func (c *Catalog) Instances() []agateinstance.Instance {
-	return slices.SortedFunc(maps.Values(c.instances), func(a, b agateinstance.Instance) int {
-		if a.ID != b.ID {
-			if a.ID < b.ID {
-				return -1
+	return slices.SortedFunc(c.All(), func(a, b agateinstance.Instance) int {
+		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Born, b.Born))
+	})
+}
+
+// All returns all incarnations that are held, in any order.
+func (c *Catalog) All() iter.Seq[agateinstance.Instance] {
+	return func(yield func(agateinstance.Instance) bool) {
+		for _, instance := range c.instances.All() {
+			if !yield(instance) {
+				return
+			}
+		}
+	}
+}
+
+// Changed returns the incarnations whose records differ from those of another
+// catalog, those that only one of the two holds, and those whose token may be
+// another since they share one with them, each once.
+func (c *Catalog) Changed(other *Catalog) []agateinstance.Key {
+	found := make(map[agateinstance.Key]bool)
+	same := func(a, b agateinstance.Instance) bool { return a == b }
+	c.instances.Changed(other.instances, same, func(key agateinstance.Key) {
+		found[key] = true
+		for salt := range uint32(agateinstance.TokenSalts) {
+			sharing, _ := c.tokens.Get(key.Token(salt))
+			former, _ := other.tokens.Get(key.Token(salt))
+			for _, each := range slices.Concat(sharing, former) {
+				found[each] = true
 			}
-			return 1
 		}
-		return int(min(max(a.Born-b.Born, -1), 1))
 	})
+	return slices.Collect(maps.Keys(found))
 }
 
 // Token returns the token for new flows of an incarnation: the first of its
@@ -121,7 +147,7 @@
 func (c *Catalog) Token(key agateinstance.Key) (uint32, bool) {
 	for salt := range uint32(agateinstance.TokenSalts) {
 		token := key.Token(salt)
-		if len(c.tokens[token]) == 1 {
+		if keys, _ := c.tokens.Get(token); len(keys) == 1 {
 			return token, true
 		}
 	}
@@ -130,12 +156,13 @@
 
 // Find returns the incarnation that a token names.
 func (c *Catalog) Find(token uint32) (agateinstance.Instance, Lookup) {
-	keys := c.tokens[token]
+	keys, _ := c.tokens.Get(token)
 	switch len(keys) {
 	case 0:
 		return agateinstance.Instance{}, Unknown
 	case 1:
-		return c.instances[keys[0]], Found
+		instance, _ := c.Instance(keys[0])
+		return instance, Found
 	default:
 		return agateinstance.Instance{}, Ambiguous
 	}
@@ -194,9 +221,9 @@
 func (c *Catalog) supersedes(d *draft, record agateinstance.Instance) bool {
 	instances := c.instances
 	if d.opened {
-		instances = d.instances
+		instances = d.instances.Map
 	}
-	held, ok := instances[record.Key]
+	held, ok := instances.Get(record.Key)
 	return !ok || record.Revision > held.Revision
 }
 
@@ -205,7 +232,7 @@
 func (c *Catalog) Without(forget func(agateinstance.Instance) bool) *Catalog {
 	var d draft
 	floor := c.floor
-	for key, instance := range c.instances {
+	for key, instance := range c.instances.All() {
 		if instance.State == agateinstance.Gone && forget(instance) {
 			d.open(c)
 			d.remove(key)
--- a/entry/process/agatemeter/meter.go
+++ b/entry/process/agatemeter/meter.go
@@ -11,6 +11,7 @@
 
 	"agatereach/core/process/agatesteer"
 	"agatereach/core/version/agatecatalog"
+	"agatereach/core/version/agateinstance"
 )
 
 // namespace starts the name of every metric.
@@ -147,8 +148,12 @@
 	m.version.Set(float64(catalog.Version()))
 	m.revision.Set(float64(catalog.Revision()))
 	m.servers.Reset()
-	for _, instance := range catalog.Instances() {
-		m.servers.WithLabelValues(string(instance.State)).Inc()
+	counts := make(map[agateinstance.State]int)
+	for instance := range catalog.All() {
+		counts[instance.State]++
+	}
+	for state, n := range counts {
+		m.servers.WithLabelValues(string(state)).Set(float64(n))
 	}
 }
 
