--- a/core/process/agatesteer/load_test.go
+++ b/core/process/agatesteer/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"runtime"
 	"testing"
 	"time"
@@ -164,3 +165,80 @@
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/flows, "B/flow")
 	runtime.KeepAlive(w)
 }
+
+// many registers a number of servers in three data centres.
+func (w *world) many(servers int) []agateinstance.Instance {
+	var all []agateinstance.Instance
+	for id := range uint64(servers) {
+		w.revision++
+		all = append(all, agateinstance.Instance{
+			Key: agateinstance.Key{ID: id + 1, Born: 1}, Revision: w.revision, Service: "map",
+			Centre: string(rune('a' + id%3)), Slots: 3, State: agateinstance.Ready,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(id >> 16), byte(id >> 8), byte(id)}), 80),
+		})
+	}
+	w.catalog, _ = w.catalog.WithInstances(all)
+	w.update()
+	return all
+}
+
+// TestManyServers places flows among 3,000 servers: those of the own data centre
+// get them evenly, and a change of one server is followed.
+func TestManyServers(t *testing.T) {
+	w := newWorld(t)
+	all := w.many(3000)
+	got := make(map[uint64]int)
+	for range 3000 {
+		v := w.call(orders).open()
+		got[v.Server]++
+		if v.Server%3 != 1 {
+			t.Fatalf("server %d of another data centre was chosen", v.Server)
+		}
+	}
+	for id, flows := range got {
+		if flows > 8 {
+			t.Errorf("server %d has %d of 3000 flows", id, flows)
+		}
+	}
+	all[0].State, all[0].Revision = agateinstance.Draining, w.revision+1
+	w.register(all[0])
+	for range 3000 {
+		if v := w.call(orders).open(); v.Server == all[0].ID {
+			t.Fatal("a server that leaves was chosen")
+		}
+	}
+}
+
+// BenchmarkUpdate changes one of many servers, and BenchmarkTick does what falls
+// due among them.
+func BenchmarkUpdate(b *testing.B) {
+	for _, servers := range []int{150, 3000, 120000} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			w := newWorld(b)
+			all := w.many(servers)
+			b.ReportAllocs()
+			for b.Loop() {
+				w.revision++
+				all[7].Revision = w.revision
+				w.register(all[7])
+			}
+		})
+	}
+}
+
+func BenchmarkTick(b *testing.B) {
+	for _, servers := range []int{150, 3000, 120000} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			w := newWorld(b)
+			w.many(servers)
+			for range 100 {
+				w.call(orders).open()
+			}
+			for b.Loop() {
+				w.steerer.Tick(w.now)
+				w.steerer.Loads(w.now)
+				w.steerer.Opinions(w.now)
+			}
+		})
+	}
+}
--- a/core/process/agatesteer/note.go
+++ b/core/process/agatesteer/note.go
@@ -14,8 +14,10 @@
 	if on == nil {
 		return
 	}
+	s.active[on] = struct{}{}
 	if event.Answered {
 		on.silence.Seen(now)
+		s.heard(on, now)
 	}
 	if event.Repeated {
 		s.miss(f, event, now)
@@ -80,9 +82,20 @@
 func (s *Steerer) assign(f *flow, to *server) {
 	s.uncount(f)
 	f.Owner.server = to
+	if to != nil {
+		s.active[to] = struct{}{}
+	}
 	s.count(f)
 }
 
+// heard notes that a server of a data centre has shown life.
+func (s *Steerer) heard(on *server, at time.Duration) {
+	if on.instance.Centre != s.centre {
+		c := s.centreOf(on)
+		c.heard = max(c.heard, at)
+	}
+}
+
 // count brings the counts of a flow's server up to date with the flow.
 func (s *Steerer) count(f *flow) {
 	on := f.Owner.server
--- a/core/process/agatesteer/opinion.go
+++ b/core/process/agatesteer/opinion.go
@@ -35,7 +35,7 @@
 // since the last call.
 func (s *Steerer) Opinions(now time.Duration) []Opinion {
 	var changed []Opinion
-	for _, each := range s.servers {
+	for each := range s.active {
 		silent := each.silence.Suspected(s.policy.Silence) || s.unreachable(each)
 		if silent != each.heldSilent {
 			each.heldSilent = silent
--- a/core/process/agatesteer/policy.go
+++ b/core/process/agatesteer/policy.go
@@ -40,6 +40,9 @@
 	// Transit is how long what another entry says may be on its way: ages are
 	// stated as of when it was written.
 	Transit time.Duration
+	// Choices is the number of servers of the own data centre, and of all others,
+	// that a new flow is weighed for at most.
+	Choices int
 	// Pick holds the weights of the choice of a server.
 	Pick agatepick.Policy
 	// Silence holds the thresholds for silent servers, and Answers those for
@@ -62,7 +65,9 @@
 		Fresh:     2 * time.Second,
 		Recent:    5 * time.Second,
 		Transit:   20 * time.Millisecond,
-		Pick:      agatepick.Policy{Distance: 0.7, Failing: 5, MaxSilent: 0.5},
+		// The least loaded of so many is nearly the least loaded of all.
+		Choices: 64,
+		Pick:    agatepick.Policy{Distance: 0.7, Failing: 5, MaxSilent: 0.5},
 		Silence: agatesilence.Policy{
 			Suspect:  2,
 			Confirm:  3,
--- a/core/process/agatesteer/server.go
+++ b/core/process/agatesteer/server.go
@@ -118,6 +118,17 @@
 // evidence returns what this and other entries hold of the server's answers.
 func (s *server) evidence() agateanswer.Evidence { return s.failing + s.reported.failing }
 
+// negligible is the load, and the evidence, below which a server counts as idle.
+const negligible = 0.005
+
+// quiet reports whether nothing is known of the server beyond its record and
+// when it was heard.
+func (s *server) quiet() bool {
+	idle := s.open == 0 && len(s.opening) == 0 && len(s.waiting) == 0 && s.busy < negligible
+	trusted := s.silence.Own().Flows == 0 && len(s.suspicions) == 0 && !s.contradicted && !s.heldSilent
+	return idle && trusted && s.failing < negligible && !s.heldFailing
+}
+
 // capacity returns the number of requests that the server runs at full speed.
 func (s *server) capacity(p *Policy, now time.Duration) float64 {
 	slots := float64(s.instance.Slots)
--- a/core/process/agatesteer/share.go
+++ b/core/process/agatesteer/share.go
@@ -26,7 +26,7 @@
 // of: those with its load, and those that are or were suspected.
 func (s *Steerer) Loads(now time.Duration) []agateload.Load {
 	var loads []agateload.Load
-	for _, each := range s.servers {
+	for each := range s.active {
 		if load, ok := each.own(&s.policy, now); ok {
 			loads = append(loads, load)
 		}
@@ -38,7 +38,7 @@
 // and of those that others suspect wrongly.
 func (s *Steerer) Suspicions(now time.Duration) []agateload.Load {
 	var loads []agateload.Load
-	for _, each := range s.servers {
+	for each := range s.active {
 		if each.silence.Own().Flows == 0 && !each.contradicted {
 			continue
 		}
@@ -94,6 +94,7 @@
 		if found != agatecatalog.Found || on == nil {
 			continue
 		}
+		s.active[on] = struct{}{}
 		s.hear(on, from, load, now)
 		if !partial {
 			on.reported.add(load, 1)
@@ -108,7 +109,9 @@
 // hear takes in whether another entry has seen a server live.
 func (s *Steerer) hear(on *server, from string, load agateload.Load, now time.Duration) {
 	if load.Heard > 0 {
-		on.silence.Heard(now - agateload.Duration(load.Heard) - s.policy.Transit)
+		at := now - agateload.Duration(load.Heard) - s.policy.Transit
+		on.silence.Heard(at)
+		s.heard(on, at)
 	}
 	if load.Missed > 0 {
 		since := now - agateload.Duration(load.Since)
@@ -166,6 +169,8 @@
 
 // centreState is what is known of another data centre as a whole.
 type centreState struct {
+	// heard is when any of its servers last showed life.
+	heard time.Duration
 	// silent says that several of its servers miss answers and none has
 	// answered since.
 	silent bool
@@ -180,21 +185,19 @@
 // be held silent by itself.
 func (s *Steerer) judgeCentres(now time.Duration) {
 	sums := make(map[string]*centreSum)
-	for _, each := range s.servers {
-		name := each.instance.Centre
-		if name == s.centre {
-			continue
-		}
-		sum := sums[name]
-		if sum == nil {
-			sum = &centreSum{}
-			sums[name] = sum
+	for each := range s.active {
+		if name := each.instance.Centre; name != s.centre {
+			sum := sums[name]
+			if sum == nil {
+				sum = &centreSum{}
+				sums[name] = sum
+			}
+			sum.add(each)
 		}
-		sum.add(each)
 	}
-	for name, sum := range sums {
-		known := s.centreNamed(name)
-		silent := sum.silent(s.policy.Silence)
+	for name, known := range s.centres {
+		sum := sums[name]
+		silent := sum != nil && sum.silent(s.policy.Silence, known.heard)
 		if silent && !known.silent {
 			known.since = now
 		}
@@ -217,15 +220,12 @@
 
 // centreSum sums up a data centre's servers.
 type centreSum struct {
-	// heard is when any of them last showed life.
-	heard time.Duration
 	// missing are the flows without an answer, to a number of servers.
 	missing agatesilence.Evidence
 	servers int
 }
 
 func (c *centreSum) add(each *server) {
-	c.heard = max(c.heard, each.silence.LastHeard())
 	missing := each.silence.Missing()
 	if missing.Flows == 0 {
 		return
@@ -234,8 +234,9 @@
 	c.servers++
 }
 
-func (c *centreSum) silent(p agatesilence.Policy) bool {
-	return c.servers > 1 && c.missing.Flows >= p.Confirm && c.missing.Firm >= p.Firm && c.missing.Since > c.heard
+// silent reports whether the data centre that was last heard at a time is silent.
+func (c *centreSum) silent(p agatesilence.Policy, heard time.Duration) bool {
+	return c.servers > 1 && c.missing.Flows >= p.Confirm && c.missing.Firm >= p.Firm && c.missing.Since > heard
 }
 
 // unreachable reports whether a server's data centre cannot be reached.
--- a/core/process/agatesteer/steer.go
+++ b/core/process/agatesteer/steer.go
@@ -5,6 +5,7 @@
 package agatesteer
 
 import (
+	"iter"
 	"slices"
 	"time"
 
@@ -33,6 +34,8 @@
 	flows *agatetrack.Table[owner]
 	// servers are all incarnations of the catalog.
 	servers map[agateinstance.Key]*server
+	// active are the servers of which there is more to know than their record.
+	active map[*server]struct{}
 	// services are the servers by service that take new flows.
 	services map[string][]*server
 	// statements are the last words of other entries, by their names.
@@ -59,6 +62,7 @@
 		random:     random,
 		catalog:    &agatecatalog.Catalog{},
 		servers:    make(map[agateinstance.Key]*server),
+		active:     make(map[*server]struct{}),
 		services:   make(map[string][]*server),
 		usages:     make(map[string]*usage),
 		statements: make(map[string]statement),
@@ -123,6 +127,7 @@
 // forget drops a server that the catalog no longer holds.
 func (s *Steerer) forget(key agateinstance.Key, gone *server) {
 	delete(s.servers, key)
+	delete(s.active, gone)
 	s.unlist(gone)
 	s.flows.Each(func(f *flow) {
 		if f.Owner.server == gone {
@@ -305,7 +310,7 @@
 	s.candidates = s.candidates[:0]
 	s.offered = s.offered[:0]
 	long := f.Owner.usage.long()
-	for _, each := range s.services[service] {
+	for each := range s.some(s.services[service]) {
 		s.offered = append(s.offered, each)
 		s.candidates = append(s.candidates, agatepick.Candidate{
 			Load:     s.load(each, f.Owner.usage, long),
@@ -325,6 +330,29 @@
 	return chosen
 }
 
+// some returns the servers of a service, or with many of them as many as the
+// policy allows of the own data centre and of the others, from a random place on.
+func (s *Steerer) some(all []*server) iter.Seq[*server] {
+	return func(yield func(*server) bool) {
+		near, far := s.policy.Choices, s.policy.Choices
+		start := int(s.random() * float64(len(all)))
+		for i := range all {
+			each := all[(start+i)%len(all)]
+			left := &near
+			if each.instance.Centre != s.centre {
+				left = &far
+			}
+			if *left == 0 {
+				continue
+			}
+			*left--
+			if !yield(each) {
+				return
+			}
+		}
+	}
+}
+
 // silent reports whether a server should be left out. Of another data centre
 // one server at a time is tried, since a cut silences all of them.
 func (s *Steerer) silent(each *server, now time.Duration) bool {
--- a/core/process/agatesteer/tick.go
+++ b/core/process/agatesteer/tick.go
@@ -22,10 +22,13 @@
 	s.expireStatements(now)
 	s.judgeCentres(now)
 	var resets []Verdict
-	for _, each := range s.servers {
+	for each := range s.active {
 		each.sample()
 		each.failing = each.failing.Decay(s.policy.Answers)
 		resets = append(resets, s.giveUp(each, now)...)
+		if each.quiet() {
+			delete(s.active, each)
+		}
 	}
 	return resets
 }
