--- a/bench/agatebaseline/setup.go
+++ b/bench/agatebaseline/setup.go
@@ -12,6 +12,7 @@
 	"text/template"
 	"time"
 
+	"agatereach/bench/agatebuild"
 	"agatereach/bench/agatechild"
 	"agatereach/bench/agatecontrol"
 	"agatereach/bench/agateharness"
@@ -125,7 +126,7 @@
 	if err != nil {
 		return err
 	}
-	binary, err := agateharness.Build(ctx, directory)
+	binary, err := agatebuild.Build(ctx, directory, "agatereach/entry")
 	if err != nil {
 		return err
 	}
--- a/bench/agateharness/start.go
+++ b/bench/agateharness/start.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"agatereach/bench/agatebackend"
+	"agatereach/bench/agatebuild"
 	"agatereach/bench/agatecaller"
 	"agatereach/bench/agatechild"
 	"agatereach/bench/agatecontrol"
@@ -48,7 +49,7 @@
 func (r *runner) start(ctx context.Context) error {
 	if r.binary == "" {
 		r.progress(ctx, "build")
-		path, err := Build(ctx, r.directory)
+		path, err := agatebuild.Build(ctx, r.directory, "agatereach/entry")
 		if err != nil {
 			return err
 		}
--- a/bench/agatesoak/fleet.go
+++ b/bench/agatesoak/fleet.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -39,30 +38,6 @@
 	stateTimeout = 3 * time.Second
 )
 
-// BuildError reports a program that could not be built.
-type BuildError struct {
-	// Output is what the build printed.
-	Output string
-	// Err is the build's error.
-	Err error
-}
-
-// Error returns the error and the output.
-func (e *BuildError) Error() string { return fmt.Sprintf("build the program: %v\n%s", e.Err, e.Output) }
-
-// Unwrap returns the build's error.
-func (e *BuildError) Unwrap() error { return e.Err }
-
-// build builds the program into the directory and returns its path.
-func build(ctx context.Context, directory string) (string, error) {
-	path := filepath.Join(directory, "agatereach")
-	output, err := exec.CommandContext(ctx, "go", "build", "-o", path, "agatereach/platform").CombinedOutput()
-	if err != nil {
-		return "", &BuildError{Output: string(output), Err: err}
-	}
-	return path, nil
-}
-
 // entry is one entry VM with its process.
 type entry struct {
 	place    int
--- a/bench/agatesoak/soak.go
+++ b/bench/agatesoak/soak.go
@@ -15,6 +15,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"agatereach/bench/agatebuild"
 	"agatereach/bench/agatecrowd"
 	"agatereach/bench/agatedetour"
 	"agatereach/bench/agatefarm"
@@ -31,6 +32,8 @@
 )
 
 const (
+	// program is the package of the entry program.
+	program = "agatereach/platform"
 	// centres is the number of data centres.
 	centres = 3
 	// grace is the time between the signal to stop and the kill.
@@ -184,7 +187,7 @@
 	}
 	s.binary = s.options.Program
 	if s.binary == "" {
-		s.binary, err = build(s.ctx, s.directory)
+		s.binary, err = agatebuild.Build(s.ctx, s.directory, program)
 	}
 	return err
 }
