--- a/core/version/agatecatalog/catalog.go
+++ b/core/version/agatecatalog/catalog.go
@@ -128,7 +128,7 @@
 func (c *Catalog) Changed(other *Catalog) []agateinstance.Key {
 	found := make(map[agateinstance.Key]bool)
 	same := func(a, b agateinstance.Instance) bool { return a == b }
-	c.instances.Changed(other.instances, same, func(key agateinstance.Key) {
+	for key := range c.instances.Changes(other.instances, same) {
 		found[key] = true
 		for salt := range uint32(agateinstance.TokenSalts) {
 			sharing, _ := c.tokens.Get(key.Token(salt))
@@ -137,7 +137,7 @@
 				found[each] = true
 			}
 		}
-	})
+	}
 	return slices.Collect(maps.Keys(found))
 }
 
--- a/core/version/agateshard/map.go
+++ b/core/version/agateshard/map.go
@@ -8,8 +8,8 @@
 	"maps"
 )
 
-// count is the number of shards: with 120,000 keys a change copies some 500.
-const count = 256
+// Count is the number of shards: with 120,000 keys a change copies some 500.
+const Count = 256
 
 // seed is that of all maps of the process, so that maps can be compared.
 var seed = maphash.MakeSeed()
@@ -19,11 +19,11 @@
 
 // Map is an immutable map. The zero value is empty.
 type Map[K comparable, V any] struct {
-	// shards are nil for an empty map, else count; each may be nil.
+	// shards are nil for an empty map, else Count; each may be nil.
 	shards []*shard[K, V]
 }
 
-func place[K comparable](key K) int { return int(maphash.Comparable(seed, key) % count) }
+func place[K comparable](key K) int { return int(maphash.Comparable(seed, key) % Count) }
 
 // Get returns the value of a key.
 func (m Map[K, V]) Get(key K) (V, bool) {
@@ -42,11 +42,8 @@
 // All returns all keys with their values, in any order.
 func (m Map[K, V]) All() iter.Seq2[K, V] {
 	return func(yield func(K, V) bool) {
-		for _, s := range m.shards {
-			if s == nil {
-				continue
-			}
-			for key, value := range s.entries {
+		for i := range m.shards {
+			for key, value := range m.Shard(i) {
 				if !yield(key, value) {
 					return
 				}
@@ -55,26 +52,37 @@
 	}
 }
 
-// Changed calls do for each key whose value another map lacks or holds
-// otherwise, and for each key that only the other one holds. It takes time for
-// the shards that differ only.
-func (m Map[K, V]) Changed(other Map[K, V], equal func(a, b V) bool, do func(K)) {
-	for i := range count {
-		a, b := m.at(i), other.at(i)
-		if a == b {
-			continue
-		}
-		for key, value := range a.all() {
-			if former, ok := b.get(key); !ok || !equal(value, former) {
-				do(key)
+// Shard returns the keys of one shard, 0 up to Count, with their values, in any
+// order.
+func (m Map[K, V]) Shard(i int) iter.Seq2[K, V] { return maps.All(m.at(i).all()) }
+
+// Changes returns each key whose value another map lacks or holds otherwise, and
+// each key that only the other one holds, in any order. It takes time for the
+// shards that differ only.
+func (m Map[K, V]) Changes(other Map[K, V], equal func(a, b V) bool) iter.Seq[K] {
+	return func(yield func(K) bool) {
+		for i := range Count {
+			a, b := m.at(i), other.at(i)
+			if a != b && !changes(a, b, equal, yield) {
+				return
 			}
 		}
-		for key := range b.all() {
-			if _, ok := a.get(key); !ok {
-				do(key)
-			}
+	}
+}
+
+// changes yields the keys that differ and reports whether it went through.
+func changes[K comparable, V any](a, b *shard[K, V], equal func(a, b V) bool, yield func(K) bool) bool {
+	for key, value := range a.all() {
+		if former, ok := b.get(key); (!ok || !equal(value, former)) && !yield(key) {
+			return false
+		}
+	}
+	for key := range b.all() {
+		if _, ok := a.get(key); !ok && !yield(key) {
+			return false
 		}
 	}
+	return true
 }
 
 func (m Map[K, V]) at(i int) *shard[K, V] {
@@ -99,7 +107,7 @@
 // Edit returns an editor that makes a changed map.
 func (m Map[K, V]) Edit() *Editor[K, V] {
 	e := &Editor[K, V]{}
-	e.shards = make([]*shard[K, V], count)
+	e.shards = make([]*shard[K, V], Count)
 	copy(e.shards, m.shards)
 	return e
 }
@@ -108,7 +116,7 @@
 type Editor[K comparable, V any] struct {
 	Map[K, V]
 	// own says which shards are no other map's.
-	own [count]bool
+	own [Count]bool
 }
 
 // open returns a shard that may be changed.
--- a/core/version/agateshard/map_test.go
+++ b/core/version/agateshard/map_test.go
@@ -44,7 +44,9 @@
 		}
 		a, b := rapid.IntRange(0, len(made)-1).Draw(t, "a"), rapid.IntRange(0, len(made)-1).Draw(t, "b")
 		changed := make(map[int]bool)
-		made[a].Changed(made[b], equal, func(k int) { changed[k] = true })
+		for k := range made[a].Changes(made[b], equal) {
+			changed[k] = true
+		}
 		for k := range 601 {
 			x, inX := want[a][k]
 			y, inY := want[b][k]
