Let an entry that starts be told by others before it reads the store

An entry that holds nothing waits 60 ms for its seeds, and believes a peer that its catalog is the newest as soon as it holds the same; without seeds it reads at once. TestColdStart: all hold the catalog 150 ms after a start of all.

--- a/core/process/agatesync/fleet_test.go
+++ b/core/process/agatesync/fleet_test.go
@@ -97,6 +97,8 @@
 	deaf, cut bool
 	// next is when it reads the store next.
 	next time.Duration
+	// reads counts its reads of the store.
+	reads int
 	// sent is when its link has sent what waits, and bytes what it has sent.
 	sent  time.Duration
 	bytes int
@@ -123,6 +125,8 @@
 	// link is the number of bytes that an entry's link sends in a second, 0 for
 	// any; more than linkQueue of waiting is lost.
 	link int
+	// listings counts the reads of entries that held nothing.
+	listings int
 	// bytes and posts count what was sent.
 	bytes, posts int
 }
@@ -175,11 +179,15 @@
 		return
 	}
 	e.next = f.now + 300*time.Millisecond
+	e.reads++
 	if f.store.down || e.deaf {
 		f.store.calls++
 		e.sync.Failed(f.now)
 		return
 	}
+	if e.sync.Catalog().Revision() == 0 {
+		f.listings++
+	}
 	f.post(e, e.sync.Read(f.store.read(e.sync.Catalog().Revision()), f.now, f.now))
 }
 
--- a/core/process/agatesync/peer.go
+++ b/core/process/agatesync/peer.go
@@ -29,6 +29,8 @@
 	heard time.Duration
 	// tried is when a heartbeat was last sent to it.
 	tried time.Duration
+	// said is its last heartbeat; nil before the first.
+	said *agatenotice.Beat
 	// failing says that it cannot read the store.
 	failing bool
 	// hash orders the entries of a data centre as readers.
@@ -283,7 +285,7 @@
 	if first || p.failing != b.Failing {
 		s.ranked = 0
 	}
-	p.name, p.centre, p.boot, p.heard, p.failing = b.Name, b.Centre, b.Boot, now, b.Failing
+	p.name, p.centre, p.boot, p.heard, p.failing, p.said = b.Name, b.Centre, b.Boot, now, b.Failing, b
 	p.hash = xxhash.Sum64String(b.Name)
 	sends := s.follow(b.Peers, now)
 	if first || b.Answer {
@@ -325,9 +327,7 @@
 // that the catalog is the newest.
 func (s *Sync) compare(p *peer, b *agatenotice.Beat, now time.Duration) []Send {
 	own := s.Catalog()
-	if b.Version == own.Version() && b.Revision <= own.Revision() && b.Digest == own.Digest() && b.Confirmed > 0 {
-		s.confirmed = max(s.confirmed, now-agateload.Duration(b.Confirmed))
-	}
+	s.agree(p.address)
 	ahead := b.Version > own.Version() || b.Revision > own.Revision()
 	differs := b.Revision == own.Revision() && b.Digest != own.Digest()
 	mark(&p.behind, ahead, now)
@@ -343,6 +343,19 @@
 	return nil
 }
 
+// agree takes a peer's last word that the catalog is the newest, if it holds the
+// same one.
+func (s *Sync) agree(address netip.AddrPort) {
+	p := s.peers[address]
+	if p == nil || p.said == nil || p.said.Confirmed == 0 {
+		return
+	}
+	own := s.Catalog()
+	if p.said.Version == own.Version() && p.said.Revision <= own.Revision() && p.said.Digest == own.Digest() {
+		s.confirmed = max(s.confirmed, p.heard-agateload.Duration(p.said.Confirmed))
+	}
+}
+
 // ask returns a question.
 func ask(after, version int64) agatenotice.Notice {
 	return agatenotice.Notice{Ask: &agatenotice.Ask{After: after, Version: version}}
--- a/core/process/agatesync/policy.go
+++ b/core/process/agatesync/policy.go
@@ -24,6 +24,9 @@
 	// Near is the number of entries of the own data centre that get
 	// heartbeats and pages at most, and Far that of each other one.
 	Near, Far int
+	// HeadStart is how long an entry that holds nothing waits for others before it
+	// reads the store.
+	HeadStart time.Duration
 	// Takeover is how long the view must be unconfirmed before the next entry
 	// in the order of readers reads the store, longer than a watch waits; and
 	// Step how much longer for each that is before it, up to TakeoverMax.
@@ -48,14 +51,17 @@
 		Beat:  100 * time.Millisecond,
 		Round: 8,
 		// The design leaves 10 KB a second for control, most of it for this.
-		Rate:        8000,
-		FarBeat:     500 * time.Millisecond,
-		Quiet:       time.Second,
-		Expire:      3 * time.Second,
-		ExpireFar:   time.Minute,
-		Seek:        time.Second,
-		Near:        32,
-		Far:         1,
+		Rate:      8000,
+		FarBeat:   500 * time.Millisecond,
+		Quiet:     time.Second,
+		Expire:    3 * time.Second,
+		ExpireFar: time.Minute,
+		Seek:      time.Second,
+		Near:      32,
+		Far:       1,
+		// A seed's answer takes three ways and a few ms of processor time, of which
+		// the smallest VMs have a sixteenth.
+		HeadStart:   60 * time.Millisecond,
 		Takeover:    bound * 7 / 8,
 		Step:        bound / 20,
 		TakeoverMax: bound,
--- a/core/process/agatesync/sync.go
+++ b/core/process/agatesync/sync.go
@@ -47,8 +47,9 @@
 	// seeds are addresses to ask for others.
 	seeds  []netip.AddrPort
 	sought time.Duration
-	// now is the time of the last call.
-	now time.Duration
+	// now is the time of the last call, and started that of the first look at
+	// whether the store should be read; 0 before it.
+	now, started time.Duration
 	// confirmed is when the catalog was last known to be the newest.
 	confirmed time.Duration
 	// loads are this entry's own, for the next heartbeats.
@@ -200,14 +201,18 @@
 }
 
 // Due reports whether this entry should read the store: the first in the order
-// of readers always, the next ones if nobody has confirmed the catalog lately.
+// of readers always, the next ones if nobody has confirmed the catalog lately. One
+// that holds nothing lets others tell it first, for a moment.
 func (s *Sync) Due(now time.Duration) bool {
-	if s.leaving {
-		return s.confirmed == 0
+	if s.started == 0 {
+		s.started = now
+	}
+	if s.confirmed == 0 {
+		return len(s.seeds) == 0 || now-s.started >= s.policy.HeadStart
 	}
 	rank := s.rank(now)
-	if rank == 0 || s.confirmed == 0 {
-		return true
+	if s.leaving || rank == 0 {
+		return !s.leaving
 	}
 	wait := s.policy.Takeover + time.Duration(rank-1)*s.policy.Step
 	return now-s.confirmed > min(wait, s.policy.TakeoverMax)
@@ -264,8 +269,10 @@
 		return s.answer(from, n.Ask)
 	case n.Page != nil:
 		s.receivePage(from, n.Page, now)
+		s.agree(from)
 	case n.Part != nil:
 		s.receivePart(n.Part, now)
+		s.agree(from)
 	}
 	return nil
 }
--- a/core/process/agatesync/sync_test.go
+++ b/core/process/agatesync/sync_test.go
@@ -301,3 +301,41 @@
 	f.run(bound * 2 / 3)
 	f.check("after the changes")
 }
+
+// TestRestartsReadNothing restarts the entries of a running data centre one after
+// the other: they learn from each other, and the store is not read for it.
+func TestRestartsReadNothing(t *testing.T) {
+	f := newFleet(t, 1, 12, 3)
+	f.servers(150)
+	f.store.configure(1, 240)
+	f.run(3 * time.Second)
+	reads := 0
+	for i := range 12 {
+		e := f.add(i, "a")
+		f.run(300 * time.Millisecond)
+		if e.sync.Catalog().Revision() == 0 || e.sync.Confirmed() == 0 {
+			t.Errorf("entry %d holds nothing that is known to be the newest", i)
+		}
+		reads += e.reads
+	}
+	// One of them is the reader, and one that has not met it yet may read once.
+	if reads > 12/4 {
+		t.Errorf("entries that have started read the store %d times", reads)
+	}
+	f.run(bound)
+	f.check("after the restarts")
+	// All twelve read at the first start, since nobody could tell them.
+	if f.listings > 12 {
+		t.Errorf("the store was listed %d times", f.listings)
+	}
+}
+
+// TestColdStart starts a data centre at once: all hold the catalog soon, though
+// nobody can tell them.
+func TestColdStart(t *testing.T) {
+	f := newFleet(t, 1, 12, 3)
+	f.servers(150)
+	f.store.configure(1, 240)
+	f.run(150 * time.Millisecond)
+	f.check("after the start")
+}
