--- a/core/process/agateanswer/answer.go
+++ b/core/process/agateanswer/answer.go
@@ -78,13 +78,15 @@
 	short, answers float64
 }
 
-// Judge returns what an answer of a size in bytes says of its server.
+// Judge returns what an answer of a size in bytes says of its server. It counts
+// for less the more often answers are short anyway: their runs tell little.
 func (u *Usual) Judge(size uint32, p Policy) float64 {
 	short := min(max(u.short, p.Least), p.Failed)
+	weight := 1 - short/p.Failed
 	if u.isShort(size, p) {
-		return math.Log(p.Failed / short)
+		return weight * math.Log(p.Failed/short)
 	}
-	return math.Log((1 - p.Failed) / (1 - short))
+	return weight * math.Log((1-p.Failed)/(1-short))
 }
 
 func (u *Usual) isShort(size uint32, p Policy) bool { return float64(size) < p.Short*u.size }
--- a/core/process/agateanswer/answer_test.go
+++ b/core/process/agateanswer/answer_test.go
@@ -94,6 +94,27 @@
 	}
 }
 
+// TestVaried plays answers that vary widely for long: hardly ever is a server held
+// to fail by chance.
+func TestVaried(t *testing.T) {
+	s := newService(10)
+	held := 0
+	const answers = 100000
+	for i := range answers {
+		before := s.servers[i%10].Held(policy)
+		s.answer(i%10, s.varied(2000))
+		if !before && s.servers[i%10].Held(policy) {
+			held++
+		}
+		if i%10 == 0 {
+			s.decay()
+		}
+	}
+	if held > answers/5000 {
+		t.Errorf("%d times in %d answers", held, answers)
+	}
+}
+
 // TestManyFail lets a third of the servers fail: what is usual does not become
 // what failures look like.
 func TestManyFail(t *testing.T) {
--- a/core/process/agatesteer/policy.go
+++ b/core/process/agatesteer/policy.go
@@ -83,7 +83,7 @@
 			Failed: 0.5,
 			Least:  0.02,
 			Limit:  6,
-			// A short answer where none was short counts for 3.2.
+			// A short answer where none was short counts for 3.1.
 			Even: 3,
 			// At a Decay each 100 ms, half is forgotten in 3.4 s: then the server is
 			// tried again.
--- a/core/process/agatesync/fleet_test.go
+++ b/core/process/agatesync/fleet_test.go
@@ -125,6 +125,8 @@
 	// link is the number of bytes that an entry's link sends in a second, 0 for
 	// any; more than linkQueue of waiting is lost.
 	link int
+	// far counts the bytes between data centres.
+	far int
 	// listings counts the reads of entries that held nothing.
 	listings int
 	// bytes and posts count what was sent.
@@ -204,6 +206,9 @@
 		f.posts++
 		f.bytes += len(datagram)
 		e.bytes += len(datagram)
+		if to := f.by[send.To]; to != nil && to.centre != e.centre {
+			f.far += len(datagram)
+		}
 		if e.cut || f.random.Float64() < f.loss || !f.transmit(e, len(datagram)) {
 			continue
 		}
--- a/core/process/agatesync/peer.go
+++ b/core/process/agatesync/peer.go
@@ -29,8 +29,8 @@
 	heard time.Duration
 	// tried is when a heartbeat was last sent to it.
 	tried time.Duration
-	// said is its last heartbeat; nil before the first.
-	said *agatenotice.Beat
+	// said is its last heartbeat without lists.
+	said agatenotice.Beat
 	// failing says that it cannot read the store.
 	failing bool
 	// hash orders the entries of a data centre as readers.
@@ -193,16 +193,32 @@
 
 // beats returns heartbeats to the peers for whom one is due.
 func (s *Sync) beats(now time.Duration) []Send {
-	var targets []*peer
+	var sends []Send
 	if now-s.beaten >= s.period() {
 		s.beaten = now
-		targets = s.round()
+		sends = address(s.round(), s.beat())
 	}
 	if now-s.beatenFar >= max(s.policy.FarBeat, s.period()) {
 		s.beatenFar = now
-		targets = append(targets, s.far()...)
+		sends = append(sends, s.beatsFar(now)...)
 	}
-	return address(targets, s.beat(false))
+	return sends
+}
+
+// beatsFar returns heartbeats to other data centres, with loads as often as their
+// bytes allow.
+func (s *Sync) beatsFar(now time.Duration) []Send {
+	peers := s.far()
+	if len(peers) == 0 {
+		return nil
+	}
+	full := s.beat()
+	spread := time.Duration(s.size*len(peers)) * time.Second / time.Duration(s.policy.FarRate)
+	if now-s.loadedFar < spread {
+		return address(peers, s.brief(nil))
+	}
+	s.loadedFar = now
+	return address(peers, full)
 }
 
 // address returns the notice to each of the peers.
@@ -216,7 +232,7 @@
 
 // brief returns a heartbeat without loads, or with some of them.
 func (s *Sync) brief(loads []agateload.Load) agatenotice.Notice {
-	notice := s.beat(false)
+	notice := s.beat()
 	notice.Beat.Loads, notice.Beat.Partial = loads, true
 	return notice
 }
@@ -227,21 +243,23 @@
 	loadSize = 12
 )
 
-// beat returns a heartbeat. One that asks for an answer names other entries.
-func (s *Sync) beat(answer bool) agatenotice.Notice {
+// beat returns a heartbeat with all loads.
+func (s *Sync) beat() agatenotice.Notice {
 	catalog := s.Catalog()
 	b := &agatenotice.Beat{
 		Name: s.self.Name, Centre: s.self.Centre, Boot: s.self.Boot,
 		Version: catalog.Version(), Revision: catalog.Revision(), Digest: catalog.Digest(),
-		Confirmed: s.confirmedAge(), Failing: s.failing, Leaving: s.leaving, Answer: answer, Loads: s.loads,
+		Confirmed: s.confirmedAge(), Failing: s.failing, Leaving: s.leaving, Loads: s.loads,
 	}
 	s.size = beatSize + loadSize*len(s.loads)
 	return agatenotice.Notice{Beat: b}
 }
 
-// introduction returns a heartbeat that names other entries.
+// introduction returns a heartbeat that names other entries. Loads follow with the
+// next one.
 func (s *Sync) introduction(answer bool) agatenotice.Notice {
-	notice := s.beat(answer)
+	notice := s.brief(nil)
+	notice.Beat.Answer = answer
 	notice.Beat.Peers = s.someLive()
 	return notice
 }
@@ -285,7 +303,8 @@
 	if first || p.failing != b.Failing {
 		s.ranked = 0
 	}
-	p.name, p.centre, p.boot, p.heard, p.failing, p.said = b.Name, b.Centre, b.Boot, now, b.Failing, b
+	p.name, p.centre, p.boot, p.heard, p.failing, p.said = b.Name, b.Centre, b.Boot, now, b.Failing, *b
+	p.said.Loads, p.said.Peers = nil, nil
 	p.hash = xxhash.Sum64String(b.Name)
 	sends := s.follow(b.Peers, now)
 	if first || b.Answer {
@@ -333,6 +352,7 @@
 	mark(&p.behind, ahead, now)
 	mark(&p.differs, differs, now)
 	switch {
+	case s.local(p, now):
 	case ahead && (own.Revision() == 0 || now-p.behind >= s.policy.Behind) && now-s.asked >= s.policy.AskAgain:
 		s.asked = now
 		return []Send{{To: p.address, Notice: ask(own.Revision(), own.Version())}}
@@ -343,11 +363,23 @@
 	return nil
 }
 
+// local reports whether what a peer of another data centre is ahead by should come
+// from one of the own: there is such a one, or may soon be, and time for it.
+func (s *Sync) local(p *peer, now time.Duration) bool {
+	switch {
+	case p.centre == s.self.Centre:
+		return false
+	case s.Catalog().Revision() == 0:
+		return now-s.started < s.policy.HeadStart/2
+	}
+	return s.nearCount > 0 && (p.behind == 0 || now-p.behind < s.policy.Differ)
+}
+
 // agree takes a peer's last word that the catalog is the newest, if it holds the
 // same one.
 func (s *Sync) agree(address netip.AddrPort) {
 	p := s.peers[address]
-	if p == nil || p.said == nil || p.said.Confirmed == 0 {
+	if p == nil || p.said.Confirmed == 0 {
 		return
 	}
 	own := s.Catalog()
--- a/core/process/agatesync/policy.go
+++ b/core/process/agatesync/policy.go
@@ -13,6 +13,9 @@
 	// FarBeat is the shortest time between two heartbeats to another data
 	// centre, whose bytes are dear.
 	FarBeat time.Duration
+	// FarRate is the number of bytes a second that loads may take to other data
+	// centres.
+	FarRate int
 	// Quiet is how long a reader may send no heartbeat before another reads in
 	// its place.
 	Quiet time.Duration
@@ -53,6 +56,7 @@
 		// The design leaves 10 KB a second for control, most of it for this.
 		Rate:      8000,
 		FarBeat:   500 * time.Millisecond,
+		FarRate:   1000,
 		Quiet:     time.Second,
 		Expire:    3 * time.Second,
 		ExpireFar: time.Minute,
--- a/core/process/agatesync/sync.go
+++ b/core/process/agatesync/sync.go
@@ -57,7 +57,9 @@
 	// beaten and beatenFar are when heartbeats were last sent within the data
 	// centre and to others, and size that of the last one in bytes.
 	beaten, beatenFar time.Duration
-	size              int
+	// loadedFar is when loads were last sent to other data centres.
+	loadedFar time.Duration
+	size      int
 	// nearCount is the number of peers of the data centre at the last round,
 	// and turn the place of the next one.
 	nearCount, turn int
--- a/core/process/agatesync/sync_test.go
+++ b/core/process/agatesync/sync_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"agatereach/core/process/agatesync"
+	"agatereach/core/request/agateload"
 	"agatereach/core/version/agateinstance"
 )
 
@@ -330,6 +331,40 @@
 	}
 }
 
+// TestFarBytes counts what crosses between data centres whose entries see the load
+// of many servers, and as each of them starts again.
+func TestFarBytes(t *testing.T) {
+	f := newFleet(t, 3, 10, 5)
+	f.servers(1500)
+	f.store.configure(1, 240)
+	f.run(3 * time.Second)
+	loads := make([]agateload.Load, 400)
+	for i := range loads {
+		loads[i] = agateload.Load{Token: uint32(i + 1), Waiting: 100, Open: 3}
+	}
+	for _, e := range f.entries {
+		e.sync.SetLoads(loads)
+	}
+	f.run(5 * time.Second)
+	f.far = 0
+	const seconds = 10
+	f.run(seconds * time.Second)
+	// A fifth of what control may take in all.
+	if each := f.far / seconds / len(f.entries); each > 2000 {
+		t.Errorf("each entry sends %d bytes a second to other data centres", each)
+	}
+	f.far = 0
+	for i := range 10 {
+		f.add(3*i, "a")
+		f.run(300 * time.Millisecond)
+	}
+	f.check("after the restarts")
+	// The whole catalog takes some 100 KB: others of the data centre bring it.
+	if each := f.far / 10; each > 50_000 {
+		t.Errorf("a start brings %d bytes between data centres", each)
+	}
+}
+
 // TestColdStart starts a data centre at once: all hold the catalog soon, though
 // nobody can tell them.
 func TestColdStart(t *testing.T) {
