--- a/core/process/agatesync/policy.go
+++ b/core/process/agatesync/policy.go
@@ -27,9 +27,10 @@
 	// Near is the number of entries of the own data centre that get
 	// heartbeats and pages at most, and Far that of each other one.
 	Near, Far int
-	// HeadStart is how long an entry that holds nothing waits for others before it
-	// reads the store.
-	HeadStart time.Duration
+	// HeadStart is how long an entry that holds nothing waits for others' first
+	// heartbeats before it reads the store, and Snapshot how long for a catalog
+	// that one of them holds.
+	HeadStart, Snapshot time.Duration
 	// Takeover is how long the view must be unconfirmed before the next entry
 	// in the order of readers reads the store, longer than a watch waits; and
 	// Step how much longer for each that is before it, up to TakeoverMax.
@@ -56,16 +57,17 @@
 		// The design leaves 10 KB a second for control, most of it for this.
 		Rate:      8000,
 		FarBeat:   500 * time.Millisecond,
-		FarRate:   1000,
+		FarRate:   2000,
 		Quiet:     time.Second,
 		Expire:    3 * time.Second,
 		ExpireFar: time.Minute,
 		Seek:      time.Second,
 		Near:      32,
 		Far:       1,
-		// A seed's answer takes three ways and a few ms of processor time, of which
-		// the smallest VMs have a sixteenth.
-		HeadStart:   60 * time.Millisecond,
+		// A seed answers within two ways and a few ms of processor time; all callers
+		// wait for as long after a power cut.
+		HeadStart:   15 * time.Millisecond,
+		Snapshot:    60 * time.Millisecond,
 		Takeover:    bound * 7 / 8,
 		Step:        bound / 20,
 		TakeoverMax: bound,
--- a/core/process/agatesync/sync.go
+++ b/core/process/agatesync/sync.go
@@ -210,7 +210,7 @@
 		s.started = now
 	}
 	if s.confirmed == 0 {
-		return len(s.seeds) == 0 || now-s.started >= s.policy.HeadStart
+		return len(s.seeds) == 0 || now-s.started >= s.headStart()
 	}
 	rank := s.rank(now)
 	if s.leaving || rank == 0 {
@@ -220,6 +220,17 @@
 	return now-s.confirmed > min(wait, s.policy.TakeoverMax)
 }
 
+// headStart returns how long an entry that has just started lets others tell it:
+// longer once it has heard of one that can.
+func (s *Sync) headStart() time.Duration {
+	for _, p := range s.peers {
+		if p.said.Revision > 0 {
+			return s.policy.Snapshot
+		}
+	}
+	return s.policy.HeadStart
+}
+
 // Tick does what falls due with time. It returns what is to be sent.
 func (s *Sync) Tick(now time.Duration) []Send {
 	s.now = now
--- a/entry/process/agatedirect/direct.go
+++ b/entry/process/agatedirect/direct.go
@@ -152,6 +152,7 @@
 	return agatekeeper.Timing{
 		Wait:     bound * 2 / 3,
 		Answer:   bound / 6,
+		First:    d.syncing().HeadStart,
 		Pause:    bound / 10,
 		RetryMin: 50 * time.Millisecond,
 		RetryMax: bound / 4,
--- a/entry/process/agatekeeper/keeper.go
+++ b/entry/process/agatekeeper/keeper.go
@@ -167,6 +167,8 @@
 	defer ticker.Stop()
 	defer func() { k.stopReading() }()
 	k.step(ctx)
+	first := time.NewTimer(k.timing.First)
+	defer first.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -183,6 +185,7 @@
 			k.sync.SetSeeds(seeds)
 		case <-k.leave:
 			k.send(k.sync.Leave(k.now()))
+		case <-first.C:
 		case <-ticker.C:
 		}
 		k.step(ctx)
--- a/entry/process/agatekeeper/reads.go
+++ b/entry/process/agatekeeper/reads.go
@@ -16,6 +16,8 @@
 	// Wait is how long a watch waits for a change, and Answer how long an
 	// answer may take beyond that.
 	Wait, Answer time.Duration
+	// First is the time after the start at which the store may first be read.
+	First time.Duration
 	// Pause is the time between two watches, in which changes gather.
 	Pause time.Duration
 	// RetryMin and RetryMax bound the time after a failed read, which doubles.
