--- a/core/process/agatedump/dump.go
+++ b/core/process/agatedump/dump.go
@@ -78,10 +78,24 @@
 
 // Silent returns the ids of the servers that take no new flow for their silence.
 func (d *Dump) Silent() []uint64 {
+	return d.ids(func(s *Server) bool { return s.Silent })
+}
+
+// likely is the share of failures from which on a server is shown as failing.
+const likely = 0.5
+
+// FailingServers returns the ids of the servers whose answers are failures, more
+// likely than not.
+func (d *Dump) FailingServers() []uint64 {
+	return d.ids(func(s *Server) bool { return s.Failing >= likely })
+}
+
+// ids returns the ids of the servers for which a condition holds.
+func (d *Dump) ids(holds func(*Server) bool) []uint64 {
 	var ids []uint64
-	for _, s := range d.Servers {
-		if s.Silent {
-			ids = append(ids, s.ID)
+	for i := range d.Servers {
+		if holds(&d.Servers[i]) {
+			ids = append(ids, d.Servers[i].ID)
 		}
 	}
 	return ids
--- a/ctl/process/agatecommand/fleet.go
+++ b/ctl/process/agatecommand/fleet.go
@@ -39,6 +39,8 @@
 	// the servers that it gives no new flow.
 	Peers  int      `json:"peers"`
 	Silent []string `json:"silent,omitempty"`
+	// Failing are the servers whose answers it takes for failures.
+	Failing []string `json:"failing,omitempty"`
 	// Behind is how far its revision is behind the newest one.
 	Behind int64 `json:"behind"`
 	// Error says why the entry gave no answer; empty when it did.
@@ -84,12 +86,20 @@
 		Entry: address, VM: d.VM, Centre: d.Centre, Version: d.Version, Revision: d.Revision,
 		Age: d.Age, Reading: d.Reading, Peers: len(d.Peers),
 	}
-	for _, id := range d.Silent() {
-		m.Silent = append(m.Silent, strconv.FormatUint(id, 16))
-	}
+	m.Silent = hexadecimal(d.Silent())
+	m.Failing = hexadecimal(d.FailingServers())
 	return m
 }
 
+// hexadecimal returns ids as they are written in logs.
+func hexadecimal(ids []uint64) []string {
+	var texts []string
+	for _, id := range ids {
+		texts = append(texts, strconv.FormatUint(id, 16))
+	}
+	return texts
+}
+
 // compare sets how far each entry is behind, and returns a finding if one holds
 // another version than the newest.
 func compare(members []member) error {
@@ -121,9 +131,9 @@
 		rows[i] = []string{
 			m.Entry, m.VM, m.Centre, strconv.FormatInt(m.Version, 10), strconv.FormatInt(m.Behind, 10),
 			m.Age.Round(time.Millisecond).String(), strconv.FormatBool(m.Reading), strconv.Itoa(m.Peers),
-			strings.Join(m.Silent, " "), m.Error,
+			strings.Join(m.Silent, " "), strings.Join(m.Failing, " "), m.Error,
 		}
 	}
-	header := []string{"entry", "vm", "centre", "version", "behind", "age", "reading", "peers", "silent", "error"}
+	header := []string{"entry", "vm", "centre", "version", "behind", "age", "reading", "peers", "silent", "failing", "error"}
 	return f.command.output().Print(members, header, rows)
 }
--- a/ctl/process/agatecommand/fleet_test.go
+++ b/ctl/process/agatecommand/fleet_test.go
@@ -25,10 +25,10 @@
 	current := dumped(t, agatedump.Dump{
 		VM: "vm-1", Centre: "a", Version: 9, Revision: 40, Age: 20 * time.Millisecond, Reading: true,
 		Peers:   []agatedump.Peer{{Name: "vm-2"}},
-		Servers: []agatedump.Server{{ID: 0x7f3a, Silent: true}, {ID: 1}},
+		Servers: []agatedump.Server{{ID: 0x7f3a, Silent: true}, {ID: 0xbad, Failing: 0.7}, {ID: 1, Failing: 0.2}},
 	})
 	behind := dumped(t, agatedump.Dump{VM: "vm-2", Centre: "a", Version: 7, Revision: 35})
-	if code, out, _ := run(t, "fleet", "--entry", current); code != ExitOK || !strings.Contains(out, "7f3a") {
+	if code, out, _ := run(t, "fleet", "--entry", current); code != ExitOK || !strings.Contains(out, "7f3a") || !strings.Contains(out, "bad") {
 		t.Errorf("alone: %d\n%s", code, out)
 	}
 	code, out, message := run(t, "--json", "fleet", "--entry", current, "--entry", behind)
@@ -36,6 +36,9 @@
 	if err := json.Unmarshal([]byte(out), &members); err != nil {
 		t.Fatal(err, out)
 	}
+	if len(members[0].Failing) != 1 || members[0].Failing[0] != "bad" {
+		t.Errorf("failing: %v", members[0].Failing)
+	}
 	if code != ExitFinding || members[1].Behind != 5 || !strings.Contains(message, "1 of 2 entries are behind version 9") {
 		t.Errorf("behind: %d, %+v, %s", code, members, message)
 	}
