--- /dev/null
+++ b/core/process/agatesync/beat.go
@@ -0,0 +1,147 @@
+package agatesync
+
+import (
+	"net/netip"
+	"time"
+
+	"agatereach/core/process/agatenotice"
+	"agatereach/core/request/agateload"
+)
+
+// seek returns heartbeats to the seeds that are not known to live, and to
+// addresses that others have named.
+func (s *Sync) seek() []Send {
+	var sends []Send
+	for _, seed := range s.seeds {
+		known := s.peers[seed]
+		if seed == s.self.Address || known != nil && known.live() {
+			continue
+		}
+		sends = append(sends, Send{To: seed, Notice: s.introduction(true)})
+	}
+	return sends
+}
+
+// period returns the time between two rounds of heartbeats.
+func (s *Sync) period() time.Duration {
+	bytes := s.size * min(s.nearCount, s.policy.Round)
+	spread := time.Duration(bytes) * time.Second / time.Duration(s.policy.Rate)
+	return min(max(s.policy.Beat, spread), s.policy.Expire/4)
+}
+
+// cycle returns the time in which a heartbeat reaches each peer of the data
+// centre, about.
+func (s *Sync) cycle() time.Duration {
+	rounds := (s.nearCount + s.policy.Round - 1) / s.policy.Round
+	return s.period() * time.Duration(max(rounds, 1))
+}
+
+// round returns the peers of the data centre whose turn it is.
+func (s *Sync) round() []*peer {
+	peers := s.near()
+	s.nearCount = len(peers)
+	if len(peers) <= s.policy.Round {
+		return peers
+	}
+	turn := make([]*peer, s.policy.Round)
+	for i := range turn {
+		turn[i] = peers[(s.turn+i)%len(peers)]
+	}
+	s.turn = (s.turn + len(turn)) % len(peers)
+	return turn
+}
+
+// beats returns heartbeats to the peers for whom one is due.
+func (s *Sync) beats(now time.Duration) []Send {
+	var sends []Send
+	if now-s.beaten >= s.period() {
+		s.beaten = now
+		sends = address(s.round(), s.beat())
+	}
+	if now-s.beatenFar >= max(s.policy.FarBeat, s.period()) {
+		s.beatenFar = now
+		sends = append(sends, s.beatsFar(now)...)
+	}
+	return sends
+}
+
+// beatsFar returns heartbeats to other data centres, with loads as often as their
+// bytes allow.
+func (s *Sync) beatsFar(now time.Duration) []Send {
+	peers := s.far()
+	if len(peers) == 0 {
+		return nil
+	}
+	full := s.beat()
+	spread := time.Duration(s.size*len(peers)) * time.Second / time.Duration(s.policy.FarRate)
+	if now-s.loadedFar < spread {
+		return address(peers, s.brief(nil))
+	}
+	s.loadedFar = now
+	return address(peers, full)
+}
+
+// address returns the notice to each of the peers.
+func address(peers []*peer, notice agatenotice.Notice) []Send {
+	sends := make([]Send, len(peers))
+	for i, p := range peers {
+		sends[i] = Send{To: p.address, Notice: notice}
+	}
+	return sends
+}
+
+// brief returns a heartbeat without loads, or with some of them.
+func (s *Sync) brief(loads []agateload.Load) agatenotice.Notice {
+	notice := s.beat()
+	notice.Beat.Loads, notice.Beat.Partial = loads, true
+	return notice
+}
+
+// Sizes of a heartbeat in bytes, for its period.
+const (
+	beatSize = 100
+	loadSize = 12
+)
+
+// beat returns a heartbeat with all loads.
+func (s *Sync) beat() agatenotice.Notice {
+	catalog := s.Catalog()
+	b := &agatenotice.Beat{
+		Name: s.self.Name, Centre: s.self.Centre, Boot: s.self.Boot,
+		Version: catalog.Version(), Revision: catalog.Revision(), Digest: catalog.Digest(),
+		Confirmed: s.confirmedAge(), Failing: s.failing, Leaving: s.leaving, Loads: s.loads,
+	}
+	s.size = beatSize + loadSize*len(s.loads)
+	return agatenotice.Notice{Beat: b}
+}
+
+// introduction returns a heartbeat that names other entries. Loads follow with the
+// next one.
+func (s *Sync) introduction(answer bool) agatenotice.Notice {
+	notice := s.brief(nil)
+	notice.Beat.Answer = answer
+	notice.Beat.Peers = s.someLive()
+	return notice
+}
+
+// confirmedAge returns how long ago the catalog was known to be the newest.
+func (s *Sync) confirmedAge() uint32 {
+	if s.confirmed == 0 {
+		return 0
+	}
+	return agateload.Age(s.now - s.confirmed)
+}
+
+// someLive returns addresses of some live peers, from a drawn place on.
+func (s *Sync) someLive() []netip.AddrPort {
+	peers := s.sortedPeers()
+	first := int(s.random() * float64(len(peers)))
+	addresses := make([]netip.AddrPort, 0, sharedPeers)
+	for i := range peers {
+		p := peers[(first+i)%len(peers)]
+		if p.live() && len(addresses) < sharedPeers {
+			addresses = append(addresses, p.address)
+		}
+	}
+	return addresses
+}
