Reset flows only after their callers repeated themselves here; let others set a whole data centre right

An entry that had been cut off from the servers told of many flows without an answer once its links were back; an entry of another data centre, which had seen one segment of a flow, reset that flow on its word. Contradictions go to the own data centre at once, to others with the next heartbeat. TestOthersAlone: 12 living flows reset before.

--- a/core/process/agatesteer/silence_test.go
+++ b/core/process/agatesteer/silence_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"agatereach/core/request/agateload"
+
 	"agatereach/core/process/agatesteer"
 	"agatereach/core/request/agatetuple"
 	"agatereach/core/version/agateinstance"
@@ -312,3 +314,39 @@
 		t.Errorf("%d flows reset", len(resets))
 	}
 }
+
+// TestOthersAlone lets an entry that was cut off from the servers tell of many
+// flows without an answer: no flow is reset for it whose caller has not repeated
+// itself here.
+func TestOthersAlone(t *testing.T) {
+	w := newWorld(t)
+	for id := range uint64(3) {
+		w.server(id+1, "a", agateinstance.Ready)
+		w.server(id+11, "b", agateinstance.Ready)
+	}
+	var calls []*call
+	for range 12 {
+		c := w.call(feeds)
+		c.open()
+		c.request()
+		calls = append(calls, c)
+	}
+	w.run(200 * ms)
+	var loads []agateload.Load
+	for _, instance := range w.catalog.Instances() {
+		token, _ := w.catalog.Token(instance.Key)
+		loads = append(loads, agateload.Load{Token: token, Missed: 5, Firm: 5, Since: 150})
+	}
+	for range 7 {
+		w.steerer.Report("vm-2", loads, false, w.now)
+		for i := range loads {
+			loads[i].Since += 100
+		}
+		if resets := w.run(100 * ms); len(resets) > 0 {
+			t.Fatalf("%d flows were reset on another's word", len(resets))
+		}
+	}
+	if v := calls[0].again(); v.Action != agatesteer.Reset || v.Reason != agatesteer.Silent {
+		t.Errorf("%s, %s for the flow that was repeated, want a reset", v.Action, v.Reason)
+	}
+}
--- a/core/process/agatesteer/steer.go
+++ b/core/process/agatesteer/steer.go
@@ -218,12 +218,17 @@
 	if instance.State == agateinstance.Gone && s.lost(known, f, event, now) {
 		return s.reset(f, Ended)
 	}
-	if f.Waiting && s.dead(known, now) && s.idempotent(f) {
+	if waitsInVain(f) && s.dead(known, now) && s.idempotent(f) {
 		return s.reset(f, Silent)
 	}
 	return s.forward(known, segment.Token, Held)
 }
 
+// waitsInVain reports whether a flow's caller has repeated itself here without an
+// answer. Of flows that it has not, this entry may have seen a single segment, and
+// what it holds of their server may be another's word alone.
+func waitsInVain(f *flow) bool { return f.Waiting && f.Repeats > 0 }
+
 // idempotent reports whether the caller of a flow may send its request again.
 func (s *Steerer) idempotent(f *flow) bool {
 	vip, ok := s.catalog.VIP(f.Tuple.Service())
--- a/core/process/agatesteer/tick.go
+++ b/core/process/agatesteer/tick.go
@@ -54,7 +54,7 @@
 	for f := range on.waiting {
 		vip, ok := s.catalog.VIP(f.Tuple.Service())
 		switch {
-		case dead && ok && vip.Kind == agatevip.Idempotent:
+		case dead && waitsInVain(f) && ok && vip.Kind == agatevip.Idempotent:
 			v := s.reset(f, Silent)
 			s.explain(&v, now)
 			resets = append(resets, v)
--- a/core/process/agatesync/peer.go
+++ b/core/process/agatesync/peer.go
@@ -214,7 +214,7 @@
 	mark(&p.behind, ahead, now)
 	mark(&p.differs, differs, now)
 	switch {
-	case s.local(p, now):
+	case ahead && s.local(p, now):
 	case ahead && (own.Revision() == 0 || now-p.behind >= s.policy.Behind) && now-s.asked >= s.policy.AskAgain:
 		s.asked = now
 		return []Send{{To: p.address, Notice: ask(own.Revision(), own.Version())}}
--- a/core/process/agatesync/sync_test.go
+++ b/core/process/agatesync/sync_test.go
@@ -8,6 +8,7 @@
 
 	"agatereach/core/process/agatesync"
 	"agatereach/core/request/agateload"
+	"agatereach/core/version/agatechange"
 	"agatereach/core/version/agateinstance"
 )
 
@@ -374,3 +375,26 @@
 	f.run(150 * time.Millisecond)
 	f.check("after the start")
 }
+
+// TestWrongTogether lets all entries of a data centre lack a removal that they
+// should hold by their revision: those of another one set them right.
+func TestWrongTogether(t *testing.T) {
+	f := newFleet(t, 2, 3, 9)
+	f.servers(20)
+	f.store.configure(1, 3)
+	f.run(3 * time.Second)
+	for _, e := range f.entries {
+		e.cut, e.deaf = e.centre == "b", e.centre == "b"
+	}
+	f.store.remove(7)
+	f.store.write(8, agateinstance.Draining)
+	f.run(2 * time.Second)
+	for _, e := range f.entries {
+		if e.cut {
+			e.merger.Apply(agatechange.Changes{Revision: f.store.revision, Instances: []agateinstance.Instance{f.store.written[8]}}, f.now)
+		}
+		e.cut, e.deaf = false, false
+	}
+	f.run(2 * bound)
+	f.check("after the data centre is back")
+}
