--- a/core/process/agateanswer/answer.go
+++ b/core/process/agateanswer/answer.go
@@ -53,6 +53,10 @@
 // Telling reports whether other entries should know of the evidence.
 func (e Evidence) Telling(p Policy) bool { return e >= Evidence(p.Told) }
 
+// endSize is the size of what is no answer: the end of the flow alone, which takes
+// one number. A server that has crashed ends its flows so.
+const endSize = 1
+
 const (
 	// rise and fall are the steps by which the usual size follows longer and
 	// shorter answers. Three to one settles where a quarter of the answers are
@@ -64,8 +68,8 @@
 	shareWeight = 0.003
 	// firstShare is the share that is assumed before any answer, counted as
 	// firstAnswers of them: while little is known, short answers say little.
-	firstShare   = 0.4
-	firstAnswers = 30
+	firstShare   = 0.3
+	firstAnswers = 5
 )
 
 // Usual is what the answers at a virtual address are usually like. The zero
@@ -81,6 +85,9 @@
 // Judge returns what an answer of a size in bytes says of its server. It counts
 // for less the more often answers are short anyway: their runs tell little.
 func (u *Usual) Judge(size uint32, p Policy) float64 {
+	if size <= endSize {
+		return math.Log(p.Failed / p.Least)
+	}
 	short := min(max(u.short, p.Least), p.Failed)
 	weight := 1 - short/p.Failed
 	if u.isShort(size, p) {
@@ -93,6 +100,9 @@
 
 // Learn takes in the size of an answer of a server that is not held to fail.
 func (u *Usual) Learn(size uint32, p Policy) {
+	if size <= endSize {
+		return
+	}
 	if u.size == 0 {
 		u.size, u.short = float64(size), firstShare
 		return
--- a/core/process/agateanswer/answer_test.go
+++ b/core/process/agateanswer/answer_test.go
@@ -185,6 +185,17 @@
 	}
 }
 
+// TestEnds lets a server end a flow in an answer's place, at an address of which
+// nothing else is known: it is held to fail at once.
+func TestEnds(t *testing.T) {
+	s := newService(2)
+	s.answer(0, s.varied(2000))
+	s.answer(1, 1)
+	if !s.servers[1].Held(policy) || s.servers[0].Held(policy) {
+		t.Errorf("evidence %v", s.servers)
+	}
+}
+
 // TestBounds draws answers: the share of failures stays from 0 to 1, and falls to
 // nothing once a server answers nothing.
 func TestBounds(t *testing.T) {
