--- a/core/process/agatesync/policy.go
+++ b/core/process/agatesync/policy.go
@@ -55,8 +55,9 @@
 		Beat:  100 * time.Millisecond,
 		Round: 8,
 		// The design leaves 10 KB a second for control, most of it for this.
-		Rate:      8000,
-		FarBeat:   500 * time.Millisecond,
+		Rate:    8000,
+		FarBeat: 500 * time.Millisecond,
+		// A fifth of what the design leaves for control.
 		FarRate:   2000,
 		Quiet:     time.Second,
 		Expire:    3 * time.Second,
