--- a/core/process/agatesteer/policy.go
+++ b/core/process/agatesteer/policy.go
@@ -35,7 +35,7 @@
 	// Fresh is how old the view of the configuration may be for a flow without
 	// a virtual address to be refused. With an older view it gets no answer.
 	Fresh time.Duration
-	// Recent is how long what another entry has said of servers counts.
+	// Recent is how long what another entry has said of servers counts at least.
 	Recent time.Duration
 	// Transit is how long what another entry says may be on its way: ages are
 	// stated as of when it was written.
--- a/core/process/agatesteer/share.go
+++ b/core/process/agatesteer/share.go
@@ -18,8 +18,10 @@
 
 // statement is the last word of another entry.
 type statement struct {
-	at    time.Duration
-	loads []stated
+	at time.Duration
+	// interval is the time since the one before; 0 for the first.
+	interval time.Duration
+	loads    []stated
 }
 
 // Loads returns what this entry has seen of the servers that others should know
@@ -84,10 +86,13 @@
 // Report takes in the loads that another entry states. A partial statement adds
 // to those that it stated before, any other replaces them.
 func (s *Steerer) Report(from string, loads []agateload.Load, partial bool, now time.Duration) {
+	word := statement{at: now}
 	if !partial {
+		if before, ok := s.statements[from]; ok {
+			word.interval = now - before.at
+		}
 		s.retract(from)
 	}
-	word := statement{at: now}
 	for _, load := range loads {
 		instance, found := s.catalog.Find(load.Token)
 		on := s.servers[instance.Key]
@@ -158,10 +163,19 @@
 	}
 }
 
-// expireStatements drops the words of entries that have gone silent.
+// missedStatements is the number of statements that may be lost in a row before
+// what an entry has said no longer counts.
+const missedStatements = 2
+
+// maxRecent bounds how much longer than others a rare statement counts.
+const maxRecent = 4
+
+// expireStatements drops the words of entries that have gone silent. Entries of
+// large data centres speak less often.
 func (s *Steerer) expireStatements(now time.Duration) {
 	for from, word := range s.statements {
-		if now-word.at > s.policy.Recent {
+		limit := (missedStatements + 1) * word.interval
+		if now-word.at > min(max(s.policy.Recent, limit), maxRecent*s.policy.Recent) {
 			s.retract(from)
 		}
 	}
--- a/core/process/agatesync/beat.go
+++ b/core/process/agatesync/beat.go
@@ -36,9 +36,10 @@
 	return s.period() * time.Duration(max(rounds, 1))
 }
 
-// round returns the peers of the data centre whose turn it is.
+// round returns the peers of the data centre whose turn it is. All of them get
+// theirs, however many there are.
 func (s *Sync) round() []*peer {
-	peers := s.near()
+	peers := s.centre()
 	s.nearCount = len(peers)
 	if len(peers) <= s.policy.Round {
 		return peers
@@ -58,13 +59,20 @@
 		s.beaten = now
 		sends = address(s.round(), s.beat())
 	}
-	if now-s.beatenFar >= max(s.policy.FarBeat, s.period()) {
+	if now-s.beatenFar >= s.periodFar() {
 		s.beatenFar = now
 		sends = append(sends, s.beatsFar(now)...)
 	}
 	return sends
 }
 
+// periodFar returns the time between two heartbeats to other data centres: the
+// entries of a data centre share what it tells another one.
+func (s *Sync) periodFar() time.Duration {
+	shared := s.policy.FarShare * time.Duration(s.nearCount+1)
+	return max(s.policy.FarBeat, s.period(), min(shared, s.policy.ExpireFar/4))
+}
+
 // beatsFar returns heartbeats to other data centres, with loads as often as their
 // bytes allow.
 func (s *Sync) beatsFar(now time.Duration) []Send {
--- a/core/process/agatesync/dump.go
+++ b/core/process/agatesync/dump.go
@@ -12,7 +12,7 @@
 	d := agatedump.Dump{
 		VM: s.self.Name, Centre: s.self.Centre, Boot: s.self.Boot,
 		Version: catalog.Version(), Revision: catalog.Revision(),
-		Age: agatedump.Since(s.confirmed, now), Reading: s.Due(now), Failing: s.failing,
+		Age: agatedump.Since(s.confirmed, now), Reading: s.Due(now) != None, Failing: s.failing,
 		Peers: make([]agatedump.Peer, 0, len(s.peers)),
 	}
 	for _, p := range s.sortedPeers() {
--- a/core/process/agatesync/fleet_test.go
+++ b/core/process/agatesync/fleet_test.go
@@ -177,7 +177,7 @@
 
 // read lets an entry read the store if that is due.
 func (f *fleet) read(e *entry) {
-	if f.now < e.next || !e.sync.Due(f.now) {
+	if f.now < e.next || e.sync.Due(f.now) == agatesync.None {
 		return
 	}
 	e.next = f.now + 300*time.Millisecond
--- a/core/process/agatesync/peer.go
+++ b/core/process/agatesync/peer.go
@@ -70,17 +70,21 @@
 	return rank
 }
 
-// near returns the peers of the own data centre that get heartbeats and pages.
-func (s *Sync) near() []*peer {
+// centre returns the live peers of the own data centre in the order of their
+// addresses.
+func (s *Sync) centre() []*peer {
 	var peers []*peer
 	for _, p := range s.sortedPeers() {
 		if p.live() && p.centre == s.self.Centre {
 			peers = append(peers, p)
 		}
 	}
-	return s.sample(peers, s.policy.Near)
+	return peers
 }
 
+// near returns the peers of the own data centre that are told of news at once.
+func (s *Sync) near() []*peer { return s.sample(s.centre(), s.policy.Near) }
+
 // far returns some peers of each other data centre.
 func (s *Sync) far() []*peer {
 	centres := make(map[string][]*peer)
--- a/core/process/agatesync/policy.go
+++ b/core/process/agatesync/policy.go
@@ -13,6 +13,9 @@
 	// FarBeat is the shortest time between two heartbeats to another data
 	// centre, whose bytes are dear.
 	FarBeat time.Duration
+	// FarShare is the time between two heartbeats of a whole data centre to
+	// another one, for each of which an entry waits for its turn.
+	FarShare time.Duration
 	// FarRate is the number of bytes a second that loads may take to other data
 	// centres.
 	FarRate int
@@ -24,8 +27,8 @@
 	Expire, ExpireFar time.Duration
 	// Seek is the time between two heartbeats to seeds.
 	Seek time.Duration
-	// Near is the number of entries of the own data centre that get
-	// heartbeats and pages at most, and Far that of each other one.
+	// Near is the number of entries of the own data centre that are told of
+	// news at once, and Far that of each other one that get heartbeats.
 	Near, Far int
 	// HeadStart is how long an entry that holds nothing waits for others' first
 	// heartbeats before it reads the store, and Snapshot how long for a catalog
@@ -57,6 +60,8 @@
 		// The design leaves 10 KB a second for control, most of it for this.
 		Rate:    8000,
 		FarBeat: 500 * time.Millisecond,
+		// Ten a second tell a data centre without the store of changes in time.
+		FarShare: 100 * time.Millisecond,
 		// A fifth of what the design leaves for control.
 		FarRate:   2000,
 		Quiet:     time.Second,
--- a/core/process/agatesync/sync.go
+++ b/core/process/agatesync/sync.go
@@ -117,11 +117,10 @@
 // Near returns the names of the other entries of the data centre that are known,
 // in the order of their addresses.
 func (s *Sync) Near() []string {
-	var names []string
-	for _, p := range s.sortedPeers() {
-		if p.live() && p.centre == s.self.Centre {
-			names = append(names, p.name)
-		}
+	peers := s.centre()
+	names := make([]string, len(peers))
+	for i, p := range peers {
+		names[i] = p.name
 	}
 	return names
 }
@@ -136,7 +135,7 @@
 func (s *Sync) Leave(now time.Duration) []Send {
 	s.now = now
 	s.leaving = true
-	return address(append(s.near(), s.far()...), s.brief(nil))
+	return address(append(s.centre(), s.far()...), s.brief(nil))
 }
 
 // Paused forgets what a pause has made uncertain: how new the catalog is.
@@ -150,6 +149,12 @@
 	s.merger.Apply(changes, now)
 	s.confirmed = max(s.confirmed, asked)
 	s.failing = false
+	if before.Revision() == 0 {
+		// After a power cut all entries read at once. Those that still hold nothing
+		// ask; pages to all would cost each more time than its own read.
+		s.remember()
+		return address(s.near(), s.brief(nil))
+	}
 	sends := s.tell(before)
 	if len(sends) == 0 && s.nearCount > s.policy.Round {
 		// Rounds would tell some peers too late that the catalog is the newest.
@@ -202,22 +207,46 @@
 	return s.pagesOf(changed, before.Revision(), after.Revision())
 }
 
-// Due reports whether this entry should read the store: the first in the order
-// of readers always, the next ones if nobody has confirmed the catalog lately. One
+// Duty says why an entry reads the store.
+type Duty string
+
+// The duties.
+const (
+	// None is no duty: others read.
+	None Duty = ""
+	// Start is that the entry holds nothing and nobody has told it.
+	Start Duty = "start"
+	// First is that it is the first of its data centre in the order of readers.
+	First Duty = "first"
+	// Unconfirmed is that nobody has confirmed the catalog for too long.
+	Unconfirmed Duty = "unconfirmed"
+)
+
+// Due returns why this entry should read the store: the first in the order of
+// readers always, the next ones if nobody has confirmed the catalog lately. One
 // that holds nothing lets others tell it first, for a moment.
-func (s *Sync) Due(now time.Duration) bool {
+func (s *Sync) Due(now time.Duration) Duty {
 	if s.started == 0 {
 		s.started = now
 	}
 	if s.confirmed == 0 {
-		return len(s.seeds) == 0 || now-s.started >= s.headStart()
+		if len(s.seeds) == 0 || now-s.started >= s.headStart() {
+			return Start
+		}
+		return None
 	}
 	rank := s.rank(now)
-	if s.leaving || rank == 0 {
-		return !s.leaving
+	switch {
+	case s.leaving:
+		return None
+	case rank == 0:
+		return First
 	}
 	wait := s.policy.Takeover + time.Duration(rank-1)*s.policy.Step
-	return now-s.confirmed > min(wait, s.policy.TakeoverMax)
+	if now-s.confirmed > min(wait, s.policy.TakeoverMax) {
+		return Unconfirmed
+	}
+	return None
 }
 
 // headStart returns how long an entry that has just started lets others tell it:
--- a/core/process/agatesync/sync_test.go
+++ b/core/process/agatesync/sync_test.go
@@ -81,7 +81,7 @@
 func (f *fleet) roles() (reader, other, third *entry) {
 	for _, e := range f.entries {
 		switch {
-		case reader == nil && e.sync.Due(f.now):
+		case reader == nil && e.sync.Due(f.now) != agatesync.None:
 			reader = e
 		case other == nil:
 			other = e
@@ -163,7 +163,7 @@
 	f.run(50 * time.Millisecond)
 	reads := 0
 	for _, e := range f.entries {
-		if e.sync.Due(f.now) {
+		if e.sync.Due(f.now) != agatesync.None {
 			reads++
 			if e == reader {
 				t.Error("the leaving entry still reads")
@@ -366,6 +366,63 @@
 	}
 }
 
+// TestLargeCentre runs a data centre whose heartbeats go round slowly: nobody is
+// held to be lost.
+func TestLargeCentre(t *testing.T) {
+	const size = 45
+	f := newFleet(t, 1, size, 11)
+	f.servers(60)
+	f.store.configure(1, 20)
+	f.run(2 * time.Second)
+	for _, e := range f.entries {
+		e.sync.SetLoads(make([]agateload.Load, 60))
+	}
+	for range 40 {
+		f.run(time.Second)
+		for _, e := range f.entries {
+			if near := len(e.sync.Near()); near != size-1 {
+				t.Fatalf("at %v %s knows %d others, want %d", f.now, e.address, near, size-1)
+			}
+		}
+	}
+}
+
+// TestFarBytesOfCentre counts what a data centre tells another one: it does not
+// grow with its entries.
+func TestFarBytesOfCentre(t *testing.T) {
+	rate := func(size int) int {
+		f := newFleet(t, 2, size, 11)
+		f.servers(60)
+		f.store.configure(1, 20)
+		f.run(8 * time.Second)
+		for _, e := range f.entries {
+			e.sync.SetLoads(make([]agateload.Load, 60))
+		}
+		f.run(2 * time.Second)
+		f.far = 0
+		const seconds = 10
+		f.run(seconds * time.Second)
+		return f.far / seconds / 2
+	}
+	if small, large := rate(10), rate(40); large > 2*small {
+		t.Errorf("10 entries send %d bytes a second, 40 send %d", small, large)
+	}
+}
+
+// TestColdStartBytes starts a large data centre at once: all read the store, so
+// that nobody needs the catalog of another.
+func TestColdStartBytes(t *testing.T) {
+	f := newFleet(t, 1, 40, 3)
+	f.servers(300)
+	f.store.configure(1, 20)
+	f.run(300 * time.Millisecond)
+	f.check("after the start")
+	// A catalog takes some 15 KB.
+	if each := f.bytes / len(f.entries); each > 15_000 {
+		t.Errorf("each entry sends %d bytes", each)
+	}
+}
+
 // TestColdStart starts a data centre at once: all hold the catalog soon, though
 // nobody can tell them.
 func TestColdStart(t *testing.T) {
--- a/core/version/agatecatalog/catalog.go
+++ b/core/version/agatecatalog/catalog.go
@@ -126,6 +126,9 @@
 // catalog, those that only one of the two holds, and those whose token may be
 // another since they share one with them, each once.
 func (c *Catalog) Changed(other *Catalog) []agateinstance.Key {
+	if other.instances.Empty() {
+		return slices.Collect(c.instances.Keys())
+	}
 	found := make(map[agateinstance.Key]bool)
 	same := func(a, b agateinstance.Instance) bool { return a == b }
 	for key := range c.instances.Changes(other.instances, same) {
--- a/core/version/agateshard/map.go
+++ b/core/version/agateshard/map.go
@@ -39,6 +39,20 @@
 	return value, ok
 }
 
+// Empty reports whether the map has never held a key.
+func (m Map[K, V]) Empty() bool { return m.shards == nil }
+
+// Keys returns all keys, in any order.
+func (m Map[K, V]) Keys() iter.Seq[K] {
+	return func(yield func(K) bool) {
+		for key := range m.All() {
+			if !yield(key) {
+				return
+			}
+		}
+	}
+}
+
 // All returns all keys with their values, in any order.
 func (m Map[K, V]) All() iter.Seq2[K, V] {
 	return func(yield func(K, V) bool) {
--- a/entry/process/agatedirect/direct.go
+++ b/entry/process/agatedirect/direct.go
@@ -25,6 +25,7 @@
 	"agatereach/core/process/agatesync"
 	"agatereach/core/request/agateload"
 	"agatereach/entry/connection/agatereceiver"
+	"agatereach/entry/process/agatecollector"
 	"agatereach/entry/process/agateendpoint"
 	"agatereach/entry/process/agateforwarder"
 	"agatereach/entry/process/agateinspect"
@@ -69,6 +70,7 @@
 	source    agatestorereader.Source
 	readiness agatereadiness.Readiness
 	meter     *agatemeter.Meter
+	collector *agatecollector.Collector
 	stopping  atomic.Bool
 	sink      *agatelogsink.Sink
 	log       *slog.Logger
@@ -100,6 +102,9 @@
 
 // serve runs the duties until a signal to stop.
 func (d *Direct) serve(ctx context.Context) error {
+	collector, cleanupCollector := agatecollector.New(d.setup.MemoryMB)
+	defer cleanupCollector()
+	d.collector = collector
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
@@ -243,6 +248,7 @@
 			forwarder.Updates().Wait(ctx.Done(), agateforwarder.Update{Catalog: v.Catalog, Confirmed: v.Confirmed})
 			if v.Catalog.Version() > 0 && !d.stopping.Load() {
 				d.readiness.Set(true)
+				d.collector.Serving()
 			}
 		},
 		Loads: func(from string, loads []agateload.Load, partial bool) {
--- a/entry/process/agatekeeper/keeper.go
+++ b/entry/process/agatekeeper/keeper.go
@@ -61,6 +61,8 @@
 	pause   *agatepause.Pause
 	// started is the start of the sync's clock.
 	started time.Time
+	// duty is why the store is read, as last told.
+	duty agatesync.Duty
 	// reading is the order under way.
 	reading reading
 	// listed says that all registrations have been read since it last was due.
@@ -237,7 +239,9 @@
 
 // receive takes in a notice.
 func (k *Keeper) receive(r received) {
-	k.send(k.sync.Receive(r.from, r.notice, k.now()))
+	sends := k.sync.Receive(r.from, r.notice, k.now())
+	k.publish()
+	k.send(sends)
 	if b := r.notice.Beat; b != nil && len(b.Loads) > 0 {
 		k.handlers.Loads(b.Name, b.Loads, b.Partial)
 	}
--- a/entry/process/agatekeeper/reads.go
+++ b/entry/process/agatekeeper/reads.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"agatereach/core/process/agatesync"
 	"agatereach/core/version/agatechange"
 	"agatereach/entry/process/agatemeter"
 	"agatereach/entry/process/agatestorereader"
@@ -45,7 +46,7 @@
 		k.checkStuck()
 		return
 	}
-	if time.Now().Before(k.next) || !k.sync.Due(k.now()) {
+	if time.Now().Before(k.next) || !k.due() {
 		return
 	}
 	order := agatestorereader.Order{Whole: !k.listed, After: k.sync.Catalog().Revision(), Wait: k.timing.Wait}
@@ -62,6 +63,16 @@
 	k.reader.Order(order)
 }
 
+// due reports whether the store should be read, and tells when that changes.
+func (k *Keeper) due() bool {
+	duty := k.sync.Due(k.now())
+	if duty != k.duty {
+		k.log.Info("store: duty to read", "duty", string(duty), "before", string(k.duty), "entries", k.sync.Peers())
+		k.duty = duty
+	}
+	return duty != agatesync.None
+}
+
 // checkStuck ends a watch that should have returned what others have told of.
 func (k *Keeper) checkStuck() {
 	r := &k.reading
@@ -104,7 +115,10 @@
 	if r.Changes.Malformed > 0 {
 		k.log.Warn("store: entries not understood", "entries", r.Changes.Malformed)
 	}
-	k.send(k.sync.Read(r.Changes, r.Asked.Sub(k.started), k.now()))
+	sends := k.sync.Read(r.Changes, r.Confirmed().Sub(k.started), k.now())
+	// Callers wait for the catalog, other entries can wait.
+	k.publish()
+	k.send(sends)
 }
 
 // outcome returns how a read ended, for the metrics.
--- a/entry/process/agatestorereader/reader.go
+++ b/entry/process/agatestorereader/reader.go
@@ -34,14 +34,24 @@
 
 // Result is what a read brought.
 type Result struct {
-	// Order is what was asked for, and Asked when.
-	Order Order
-	Asked time.Time
+	// Order is what was asked for, Asked when, and Answered when the answer came.
+	Order           Order
+	Asked, Answered time.Time
 	// Changes is the answer, unless there is an error.
 	Changes agatechange.Changes
 	Err     error
 }
 
+// Confirmed returns a time at which what the read brought was the newest: when it
+// was asked for or, of a watch that saw no change, when its wait was over. The
+// store waits from when it has the question, which is later than it was asked.
+func (r *Result) Confirmed() time.Time {
+	if r.Order.Whole || r.Changes.Revision > r.Order.After || r.Answered.Sub(r.Asked) < r.Order.Wait {
+		return r.Asked
+	}
+	return r.Asked.Add(r.Order.Wait)
+}
+
 // Reader carries out one order at a time.
 type Reader struct {
 	source  Source
@@ -80,6 +90,7 @@
 	} else {
 		result.Changes, result.Err = r.source.Watch(o.Context, o.After, o.Wait)
 	}
+	result.Answered = time.Now()
 	if result.Err != nil {
 		r.source.Reset()
 	}
