--- a/core/process/agatesetup/setup_test.go
+++ b/core/process/agatesetup/setup_test.go
@@ -73,3 +73,15 @@
 		t.Error(err)
 	}
 }
+
+// FuzzParse reads what begins as valid settings: whatever is read is valid again.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(valid))
+	f.Add([]byte("memory = 99999999999999999999"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s, err := agatesetup.Parse("settings.toml", text)
+		if err == nil && (s.MemoryMB < 1 || !s.Packets.IsValid() || s.Bounds.ConfigTime() <= 0) {
+			t.Errorf("%+v", s)
+		}
+	})
+}
--- a/core/process/agatesync/config.go
+++ b/core/process/agatesync/config.go
@@ -82,7 +82,8 @@
 	}
 	encoded, err := agatediff.New(before, newest).Encode()
 	if err != nil {
-		// A configuration that was decoded or checked can be encoded.
+		// Others then read the store.
+		s.unencoded++
 		return nil
 	}
 	parts := s.cut(encoded, version, newest.Version)
@@ -172,6 +173,10 @@
 	return c
 }
 
+// Unencoded returns the number of times that a change of the configuration could
+// not be encoded for others.
+func (s *Sync) Unencoded() uint64 { return s.unencoded }
+
 // Malformed returns the number of changes that came whole and could not be read.
 func (s *Sync) Malformed() uint64 { return s.malformed }
 
--- a/core/process/agatesync/sync.go
+++ b/core/process/agatesync/sync.go
@@ -90,6 +90,8 @@
 	refilled time.Duration
 	// malformed counts changes that came whole and could not be read.
 	malformed uint64
+	// unencoded counts changes that could not be encoded for others.
+	unencoded uint64
 	// leaving says that the process is about to end.
 	leaving bool
 }
--- a/core/version/agatechange/change.go
+++ b/core/version/agatechange/change.go
@@ -29,6 +29,25 @@
 	Revision int64 `cbor:"2,keyasint"`
 }
 
+// Doubt is a virtual address of a configuration that was not understood in full.
+type Doubt struct {
+	// Name is the name of the virtual address.
+	Name string
+	// Reason says what was not understood and what was done with it.
+	Reason Reason
+}
+
+// Reason says what was not understood.
+type Reason string
+
+// The reasons.
+const (
+	// BadAddress is a virtual address that is left out, since it cannot be served.
+	BadAddress Reason = "address not readable, left out"
+	// UnknownKind is one whose requests are taken for some that may run only once.
+	UnknownKind Reason = "unknown kind, served as one whose requests run once"
+)
+
 // Changes is one delivery.
 type Changes struct {
 	// Revision is the revision up to which nothing is missing.
@@ -38,6 +57,8 @@
 	Whole bool
 	// Config is the newest configuration; nil if it has not changed.
 	Config *agatecatalog.Config
+	// Doubts are the virtual addresses of Config that were not understood.
+	Doubts []Doubt
 	// Instances are registrations, each with its revision.
 	Instances []agateinstance.Instance
 	// Removed are registrations that are gone or unreadable.
--- a/entry/process/agatedirect/direct.go
+++ b/entry/process/agatedirect/direct.go
@@ -20,6 +20,7 @@
 	"agatereach/core/connection/agatesocket"
 	"agatereach/core/process/agatedump"
 	"agatereach/core/process/agatemerge"
+	"agatereach/core/process/agatepanic"
 	"agatereach/core/process/agatesetup"
 	"agatereach/core/process/agatesteer"
 	"agatereach/core/process/agatesync"
@@ -130,14 +131,21 @@
 		return err
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	for _, run := range []func(context.Context) error{
-		agatereceiver.New(socket, p.forwarder, receiveBatch).Run,
-		agatereceiver.New(links, p.keeper, receiveBatch).Run,
-		p.forwarder.Run, p.keeper.Run, p.reader.Run, ready.Run, inspect,
+	watch := func(ctx context.Context) error { return d.watch(ctx, signals, p, cancel) }
+	for _, each := range []duty{
+		{"packets", agatereceiver.New(socket, p.forwarder, receiveBatch).Run},
+		{"notices", agatereceiver.New(links, p.keeper, receiveBatch).Run},
+		{"forwarder", p.forwarder.Run},
+		{"keeper", p.keeper.Run},
+		{"store reader", p.reader.Run},
+		{"readiness", ready.Run},
+		{"inspection", inspect},
+		{"signals", watch},
 	} {
-		group.Go(func() error { return run(ctx) })
+		// A duty that panics may leave its state unsound: the process ends with the
+		// cause in its log, and is started again.
+		group.Go(func() error { return agatepanic.Catch(each.name, func() error { return each.run(ctx) }) })
 	}
-	group.Go(func() error { return d.watch(ctx, signals, p, cancel) })
 	d.log.Info("entry: started", "vm", d.setup.Name, "centre", d.setup.Centre)
 	return group.Wait()
 }
@@ -188,6 +196,12 @@
 	}
 }
 
+// duty is what one goroutine does until the context ends.
+type duty struct {
+	name string
+	run  func(context.Context) error
+}
+
 // parts are the duties of the process.
 type parts struct {
 	forwarder *agateforwarder.Forwarder
--- a/entry/process/agatedirect/direct_test.go
+++ b/entry/process/agatedirect/direct_test.go
@@ -91,6 +91,22 @@
 	})
 }
 
+// TestPanickingReads lets reads of the store panic: the entry serves on by what it
+// holds, logs the cause and reads again.
+func TestPanickingReads(t *testing.T) {
+	server := listen(t)
+	source := newStore(server)
+	c := newCaller(t, vip)
+	e := start(t, "vm-1", source, c.port(), nil)
+	wait(t, "it is ready", e.ready)
+	source.set(func(s *store) { s.panics = true })
+	wait(t, "the cause", func() bool { return strings.Contains(e.log.text(), "panic in reading the store: not understood") })
+	c.send(e, agatesegment.Segment{Sequence: 9, Flags: agatesegment.SYN})
+	receive(t, server, 8)
+	source.set(func(s *store) { s.panics, s.state.Config, s.state.Revision = false, config(2), 6 })
+	wait(t, "the change", func() bool { return e.dump().Version == 2 })
+}
+
 // TestJunk sends what is no packet and no notice: it is counted, and the entry
 // serves on.
 func TestJunk(t *testing.T) {
--- a/entry/process/agatedirect/fixture_test.go
+++ b/entry/process/agatedirect/fixture_test.go
@@ -86,6 +86,7 @@
 	changed  chan struct{}
 	down     bool
 	compacts bool
+	panics   bool
 }
 
 func (s *store) set(change func(*store)) {
@@ -99,6 +100,9 @@
 func (s *store) snapshot() (agatechange.Changes, chan struct{}, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.panics {
+		panic("not understood")
+	}
 	if s.down {
 		return agatechange.Changes{}, nil, errDown
 	}
--- a/entry/process/agatekeeper/keeper.go
+++ b/entry/process/agatekeeper/keeper.go
@@ -77,6 +77,8 @@
 	looked time.Time
 	// malformed is the number of changes that were told of as unreadable.
 	malformed uint64
+	// unencoded is the number of changes that were told of as not encoded.
+	unencoded uint64
 	// lost says that the store was found to be lost.
 	lost bool
 	// published is the last view that was handed on.
@@ -235,6 +237,10 @@
 		k.log.Warn("link: changes not understood", "changes", malformed-k.malformed)
 		k.malformed = malformed
 	}
+	if unencoded := k.sync.Unencoded(); unencoded > k.unencoded {
+		k.log.Error("link: configuration not encoded for others", "changes", unencoded-k.unencoded)
+		k.unencoded = unencoded
+	}
 }
 
 // receive takes in a notice.
--- a/entry/process/agatekeeper/reads.go
+++ b/entry/process/agatekeeper/reads.go
@@ -112,6 +112,7 @@
 	k.retry = k.timing.RetryMin
 	k.next = time.Now().Add(k.timing.Pause)
 	k.listed = true
+	k.doubt(r.Changes)
 	if r.Changes.Malformed > 0 {
 		k.log.Warn("store: entries not understood", "entries", r.Changes.Malformed)
 	}
@@ -121,6 +122,16 @@
 	k.send(sends)
 }
 
+// doubt tells which virtual addresses of a new configuration were not understood.
+func (k *Keeper) doubt(c agatechange.Changes) {
+	if c.Config == nil || c.Config.Version <= k.version() {
+		return
+	}
+	for _, d := range c.Doubts {
+		k.log.Warn("config: virtual address not understood", "version", c.Config.Version, "name", d.Name, "reason", string(d.Reason))
+	}
+}
+
 // outcome returns how a read ended, for the metrics.
 func outcome(err error) agatemeter.Outcome {
 	var compacted *agatechange.CompactedError
--- a/entry/process/agatestorereader/reader.go
+++ b/entry/process/agatestorereader/reader.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"agatereach/core/process/agatepanic"
 	"agatereach/core/process/agatering"
 	"agatereach/core/version/agatechange"
 )
@@ -85,11 +86,15 @@
 // read carries out one order.
 func (r *Reader) read(o Order) Result {
 	result := Result{Order: o, Asked: time.Now()}
-	if o.Whole {
-		result.Changes, result.Err = r.source.List(o.Context)
-	} else {
-		result.Changes, result.Err = r.source.Watch(o.Context, o.After, o.Wait)
-	}
+	// What cannot be read costs the read only: the entry serves on by what it holds.
+	result.Err = agatepanic.Catch("reading the store", func() (err error) {
+		if o.Whole {
+			result.Changes, err = r.source.List(o.Context)
+		} else {
+			result.Changes, err = r.source.Watch(o.Context, o.After, o.Wait)
+		}
+		return err
+	})
 	result.Answered = time.Now()
 	if result.Err != nil {
 		r.source.Reset()
