Introduce entries to few of other data centres, and share what a data centre tells another of loads

Cause: each introduction named any entries, whoever learnt of one introduced itself, so that at a start every pair of 195 entries exchanged some 400 bytes, four fifths of them between data centres; loads that one of 40 entries sees were sent as often as those of one of three. Tests: TestIntroductions (18,891 bytes an entry before, at most 12,000), TestFarBytesOfCentre tightened to no growth.

--- a/core/process/agatenotice/notice.go
+++ b/core/process/agatenotice/notice.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 
 	"agatereach/core/request/agatecodec"
 	"agatereach/core/request/agateload"
@@ -62,8 +63,10 @@
 	// Confirmed is how long ago the catalog was known to be the newest, in ms;
 	// 0 if it never was.
 	Confirmed uint32 `cbor:"7,keyasint,omitempty"`
-	// Peers are addresses of other entries.
+	// Peers are addresses of other entries of the receiver's data centre, and Far
+	// some of others.
 	Peers []netip.AddrPort `cbor:"8,keyasint,omitempty"`
+	Far   []netip.AddrPort `cbor:"14,keyasint,omitempty"`
 	// Loads are what it has seen of servers.
 	Loads []agateload.Load `cbor:"9,keyasint,omitempty"`
 	// Partial says that Loads are only those that have become urgent.
@@ -168,12 +171,12 @@
 		return &FieldError{Field: "boot"}
 	case b.Version < 0 || b.Revision < 0:
 		return &FieldError{Field: "revision"}
-	case len(b.Peers) > maxPeers:
+	case len(b.Peers) > maxPeers || len(b.Far) > maxPeers:
 		return &FieldError{Field: "peers"}
 	case len(b.Loads) > maxLoads:
 		return &FieldError{Field: "loads"}
 	}
-	for _, peer := range b.Peers {
+	for _, peer := range slices.Concat(b.Peers, b.Far) {
 		if !peer.IsValid() || !peer.Addr().Is4() || peer.Port() == 0 {
 			return &FieldError{Field: "peers"}
 		}
--- a/core/process/agatesync/beat.go
+++ b/core/process/agatesync/beat.go
@@ -17,7 +17,7 @@
 		if seed == s.self.Address || known != nil && known.live() {
 			continue
 		}
-		sends = append(sends, Send{To: seed, Notice: s.introduction(true)})
+		sends = append(sends, Send{To: seed, Notice: s.introduction(true, "")})
 	}
 	return sends
 }
@@ -82,6 +82,8 @@
 	}
 	full := s.beat()
 	spread := time.Duration(s.size*len(peers)) * time.Second / time.Duration(s.policy.FarRate)
+	// What one of many entries has seen says little of the load of a server.
+	spread *= time.Duration(max(1, (s.nearCount+1)/s.policy.FarEntries))
 	if now-s.loadedFar < spread {
 		return address(peers, s.brief(nil))
 	}
@@ -123,12 +125,16 @@
 	return agatenotice.Notice{Beat: b}
 }
 
-// introduction returns a heartbeat that names other entries. Loads follow with the
-// next one.
-func (s *Sync) introduction(answer bool) agatenotice.Notice {
+// introduction returns a heartbeat that names other entries to one of a data
+// centre, some of its own and few of the others; none if its data centre is not
+// known. Loads follow with the next one.
+func (s *Sync) introduction(answer bool, centre string) agatenotice.Notice {
 	notice := s.brief(nil)
 	notice.Beat.Answer = answer
-	notice.Beat.Peers = s.someLive()
+	if centre != "" {
+		notice.Beat.Peers = s.someLive(sharedPeers, func(p *peer) bool { return p.centre == centre })
+		notice.Beat.Far = s.someLive(sharedFar, func(p *peer) bool { return p.centre != centre })
+	}
 	return notice
 }
 
@@ -140,14 +146,15 @@
 	return agateload.Age(s.now - s.confirmed)
 }
 
-// someLive returns addresses of some live peers, from a drawn place on.
-func (s *Sync) someLive() []netip.AddrPort {
+// someLive returns the addresses of up to limit live peers that fit, from a drawn
+// place on.
+func (s *Sync) someLive(limit int, fits func(*peer) bool) []netip.AddrPort {
 	peers := s.sortedPeers()
 	first := int(s.random() * float64(len(peers)))
-	addresses := make([]netip.AddrPort, 0, sharedPeers)
+	addresses := make([]netip.AddrPort, 0, limit)
 	for i := range peers {
 		p := peers[(first+i)%len(peers)]
-		if p.live() && len(addresses) < sharedPeers {
+		if len(addresses) < limit && p.live() && fits(p) {
 			addresses = append(addresses, p.address)
 		}
 	}
--- a/core/process/agatesync/peer.go
+++ b/core/process/agatesync/peer.go
@@ -17,8 +17,15 @@
 // reach of one entry.
 const maxPeers = 1 << 12
 
-// sharedPeers is the number of other entries that a heartbeat names.
-const sharedPeers = 8
+const (
+	// sharedPeers is the number of entries of the receiver's data centre that an
+	// introduction names, and sharedFar that of others.
+	sharedPeers = 8
+	sharedFar   = 2
+	// enoughFar is the number of entries of other data centres that one looks for:
+	// they tell each other by a few, and all of them would be dear to know.
+	enoughFar = 16
+)
 
 // peer is another entry.
 type peer struct {
@@ -211,11 +218,14 @@
 		s.ranked = 0
 	}
 	p.name, p.centre, p.boot, p.heard, p.failing, p.said = b.Name, b.Centre, b.Boot, now, b.Failing, *b
-	p.said.Loads, p.said.Peers = nil, nil
+	p.said.Loads, p.said.Peers, p.said.Far = nil, nil, nil
 	p.hash = xxhash.Sum64String(b.Name)
-	sends := s.follow(b.Peers, now)
+	sends := s.follow(b.Peers, s.self.Centre, now)
+	if s.countFar() < enoughFar {
+		sends = append(sends, s.follow(b.Far, "", now)...)
+	}
 	if first || b.Answer {
-		sends = append(sends, Send{To: from, Notice: s.introduction(false)})
+		sends = append(sends, Send{To: from, Notice: s.introduction(false, b.Centre)})
 	}
 	return append(sends, s.compare(p, b, now)...)
 }
@@ -234,8 +244,21 @@
 	return p
 }
 
-// follow returns heartbeats to entries that another has named.
-func (s *Sync) follow(addresses []netip.AddrPort, now time.Duration) []Send {
+// countFar returns the number of peers of other data centres, with those that have
+// not answered yet.
+func (s *Sync) countFar() int {
+	far := 0
+	for _, p := range s.sortedPeers() {
+		if p.centre != s.self.Centre {
+			far++
+		}
+	}
+	return far
+}
+
+// follow returns heartbeats to entries that another has named, of a data centre if
+// that is known.
+func (s *Sync) follow(addresses []netip.AddrPort, centre string, now time.Duration) []Send {
 	var sends []Send
 	for _, address := range addresses {
 		if address == s.self.Address || s.peers[address] != nil {
@@ -243,7 +266,7 @@
 		}
 		if p := s.meet(address); p != nil {
 			p.tried = now
-			sends = append(sends, Send{To: address, Notice: s.introduction(true)})
+			sends = append(sends, Send{To: address, Notice: s.introduction(true, centre)})
 		}
 	}
 	return sends
--- a/core/process/agatesync/policy.go
+++ b/core/process/agatesync/policy.go
@@ -16,9 +16,10 @@
 	// FarShare is the time between two heartbeats of a whole data centre to
 	// another one, for each of which an entry waits for its turn.
 	FarShare time.Duration
-	// FarRate is the number of bytes a second that loads may take to other data
-	// centres.
-	FarRate int
+	// FarRate is the number of bytes a second that loads of one of up to FarEntries
+	// entries may take to other data centres; of more entries each sends less.
+	FarRate    int
+	FarEntries int
 	// Quiet is how long a reader may send no heartbeat before another reads in
 	// its place.
 	Quiet time.Duration
@@ -70,15 +71,16 @@
 		// Ten a second tell a data centre without the store of changes in time.
 		FarShare: 100 * time.Millisecond,
 		// A fifth of what the design leaves for control.
-		FarRate:   2000,
-		Quiet:     time.Second,
-		Told:      64,
-		Failing:   3,
-		Expire:    3 * time.Second,
-		ExpireFar: time.Minute,
-		Seek:      time.Second,
-		Near:      64,
-		Far:       1,
+		FarRate:    2000,
+		FarEntries: 4,
+		Quiet:      time.Second,
+		Told:       64,
+		Failing:    3,
+		Expire:     3 * time.Second,
+		ExpireFar:  time.Minute,
+		Seek:       time.Second,
+		Near:       64,
+		Far:        1,
 		// A seed answers within two ways and a few ms of processor time; all callers
 		// wait for as long after a power cut.
 		HeadStart:   15 * time.Millisecond,
--- a/core/process/agatesync/sync_test.go
+++ b/core/process/agatesync/sync_test.go
@@ -477,7 +477,7 @@
 		f.run(seconds * time.Second)
 		return f.far / seconds / 2
 	}
-	if small, large := rate(10), rate(40); large > 2*small {
+	if small, large := rate(10), rate(40); large > small {
 		t.Errorf("10 entries send %d bytes a second, 40 send %d", small, large)
 	}
 }
@@ -528,3 +528,26 @@
 	f.run(2 * bound)
 	f.check("after the data centre is back")
 }
+
+// TestIntroductions starts five data centres at once: entries find all others of
+// their own and some of each other one, for a few bytes between them.
+func TestIntroductions(t *testing.T) {
+	const centres, size = 5, 30
+	f := newFleet(t, centres, size, 4)
+	f.servers(60)
+	f.store.configure(1, 20)
+	f.run(4 * time.Second)
+	f.check("after the start")
+	for _, e := range f.entries {
+		if near := len(e.sync.Near()); near != size-1 {
+			t.Errorf("%s knows %d of its data centre, want %d", e.address, near, size-1)
+		}
+		if far := e.sync.Peers() - len(e.sync.Near()); far < centres-1 {
+			t.Errorf("%s knows %d of other data centres", e.address, far)
+		}
+	}
+	// An introduction takes some 200 bytes.
+	if each := f.far / len(f.entries); each > 12_000 {
+		t.Errorf("a start costs each entry %d bytes between data centres", each)
+	}
+}
