Name the server that a moved or reset flow had before

Cause: the lines flow: moved and flow: silent named the second server only, so that a failed request could not be followed to its first from the log alone. Test: TestBefore.

--- a/core/process/agatesteer/server.go
+++ b/core/process/agatesteer/server.go
@@ -37,6 +37,17 @@
 	return false
 }
 
+// before returns the id of the last server that got the flow's SYN ahead of another
+// one, 0 for none.
+func (o *owner) before(last *server) uint64 {
+	for i := o.triedCount - 1; i >= 0; i-- {
+		if o.tried[i] != last {
+			return o.tried[i].instance.ID
+		}
+	}
+	return 0
+}
+
 // server is what an entry knows of an incarnation beyond its registration.
 type server struct {
 	instance agateinstance.Instance
--- a/core/process/agatesteer/share_test.go
+++ b/core/process/agatesteer/share_test.go
@@ -99,3 +99,18 @@
 		t.Errorf("%+v", got)
 	}
 }
+
+// TestBefore moves a flow whose server answers no SYN: the verdict names the server
+// that it had before.
+func TestBefore(t *testing.T) {
+	w := newWorld(t)
+	w.server(1, "a", agateinstance.Ready)
+	w.server(2, "a", agateinstance.Ready)
+	c := w.call(feeds)
+	first := c.syn()
+	w.run(200 * ms)
+	moved := c.syn()
+	if moved.Reason != agatesteer.Moved || moved.Server == first.Server || moved.Evidence.Before != first.Server || first.Evidence.Before != 0 {
+		t.Errorf("%+v after %+v", moved, first)
+	}
+}
--- a/core/process/agatesteer/steer.go
+++ b/core/process/agatesteer/steer.go
@@ -255,6 +255,7 @@
 // reset ends a flow towards its caller.
 func (s *Steerer) reset(f *flow, reason Reason) Verdict {
 	v := Verdict{Action: Reset, Reason: reason, Flow: f.Tuple, Sequence: f.Owner.acknowledged, on: f.Owner.server}
+	v.Evidence.Before = f.Owner.before(f.Owner.server)
 	s.flows.Remove(f)
 	return v
 }
@@ -290,7 +291,9 @@
 		f.Owner.tried[f.Owner.triedCount] = chosen
 		f.Owner.triedCount++
 	}
-	return s.forward(chosen, chosen.token, reason)
+	v := s.forward(chosen, chosen.token, reason)
+	v.Evidence.Before = f.Owner.before(chosen)
+	return v
 }
 
 // refuse answers a SYN that has no server: at once if the view is fresh, since
--- a/core/process/agatesteer/verdict.go
+++ b/core/process/agatesteer/verdict.go
@@ -84,6 +84,9 @@
 	// Candidates is the number of servers of the service, and Silent that of
 	// those left out as silent.
 	Candidates, Silent int
+	// Before is the id of the server that got the flow's SYN before this one, as
+	// far as this entry has seen; 0 for none.
+	Before uint64
 	// Missed is the number of flows to the server without an answer, and Heard
 	// the time since its last sign of life; 0 if it never gave one.
 	Missed int
--- a/entry/request/agateexplain/explain.go
+++ b/entry/request/agateexplain/explain.go
@@ -73,6 +73,7 @@
 		"action", string(v.Action),
 		"server", strconv.FormatUint(v.Server, 16),
 		"address", v.Address,
+		"before", strconv.FormatUint(v.Evidence.Before, 16),
 		"load", v.Evidence.Load,
 		"capacity", v.Evidence.Capacity,
 		"candidates", v.Evidence.Candidates,
