Leave flows alone that reuse the port of an earlier one, and stay while routers may still send

Cause: a late copy of a segment whose server had started anew was taken for the present flow of the same address and port, which was then reset though its server lived; an entry without a packet for 0.7 s ended at once on the signal to stop, while routers send new flows for up to a second longer. Tests: TestReusedPort (reset before) and TestStopUnderLoad (the entry was gone before) fail on the code before; TestStopDuringStart holds.

--- a/core/process/agatesteer/steer.go
+++ b/core/process/agatesteer/steer.go
@@ -206,6 +206,9 @@
 // continued decides on a segment of a flow that has its server.
 func (s *Steerer) continued(segment agatesegment.Segment, instance agateinstance.Instance, now time.Duration) Verdict {
 	known := s.servers[instance.Key]
+	if s.stale(segment, known) {
+		return Verdict{Action: Drop, Reason: Stale, on: known}
+	}
 	f, event, _ := s.flows.Observe(segment, now)
 	f.Owner.acknowledged = segment.Acknowledged
 	if f.Owner.usage == nil {
@@ -224,6 +227,17 @@
 	return s.forward(known, segment.Token, Held)
 }
 
+// stale reports whether a segment is a late copy from an earlier flow of the same
+// addresses and ports: its server is gone, and this entry has placed the present
+// flow at others.
+func (s *Steerer) stale(segment agatesegment.Segment, on *server) bool {
+	if on.instance.State != agateinstance.Gone {
+		return false
+	}
+	f := s.flows.Find(segment.Flow)
+	return f != nil && f.Owner.triedCount > 0 && !f.Owner.hasTried(on) && f.Owner.server != on
+}
+
 // waitsInVain reports whether a flow's caller has repeated itself here without an
 // answer. Of flows that it has not, this entry may have seen a single segment, and
 // what it holds of their server may be another's word alone.
@@ -280,6 +294,9 @@
 	if event.Repeated {
 		reason = Moved
 		s.note(f, event, now)
+	} else {
+		// The record may be that of an earlier flow.
+		f.Owner.triedCount = 0
 	}
 	chosen := s.choose(f, s.service(vip, segment.Flow), now)
 	if chosen == nil {
--- a/core/process/agatesteer/steer_test.go
+++ b/core/process/agatesteer/steer_test.go
@@ -106,3 +106,31 @@
 		t.Errorf("%s, %s", v.Action, v.Reason)
 	}
 }
+
+// TestReusedPort opens a flow from the address and port of an earlier one, whose
+// server has started anew since: a late copy of the earlier one's segments neither
+// ends the new flow nor takes it along.
+func TestReusedPort(t *testing.T) {
+	w := newWorld(t)
+	old := w.server(1, "a", agateinstance.Ready)
+	c := w.call(feeds)
+	c.open()
+	c.request()
+	c.response()
+	late := c.last
+	c.finish()
+	w.run(100 * ms)
+	again := old
+	again.Born++
+	again.Revision += 10
+	w.register(again)
+	next := &call{w: w, sequence: 700000, flow: c.flow}
+	opened := next.open()
+	next.request()
+	if v := next.send(late); v.Action == agatesteer.Reset {
+		t.Errorf("%s, %s for a late copy: the new flow is ended", v.Action, v.Reason)
+	}
+	if v := next.request(); v.Action != agatesteer.Forward || v.Server != opened.Server {
+		t.Errorf("%+v, want server %d", v, opened.Server)
+	}
+}
--- a/core/process/agatesteer/verdict.go
+++ b/core/process/agatesteer/verdict.go
@@ -46,13 +46,16 @@
 	Ended Reason = "ended"
 	// Silent is a flow whose server answers nothing.
 	Silent Reason = "silent"
+	// Stale is a late copy of a segment of an earlier flow from the same address
+	// and port.
+	Stale Reason = "stale"
 	// Stray is a segment that belongs to no flow.
 	Stray Reason = "stray"
 )
 
 // Reasons returns all reasons.
 func Reasons() []Reason {
-	return []Reason{Placed, Moved, Held, NoRoute, NoServer, OldView, Foreign, Collision, Ended, Silent, Stray}
+	return []Reason{Placed, Moved, Held, NoRoute, NoServer, OldView, Foreign, Collision, Ended, Silent, Stale, Stray}
 }
 
 // Verdict is what is done with a segment.
--- a/entry/process/agatedirect/direct.go
+++ b/entry/process/agatedirect/direct.go
@@ -43,6 +43,9 @@
 	// settled is how long no packet must have come after the signal to stop
 	// before the process ends: longer than the routers take between two checks.
 	settled = 700 * time.Millisecond
+	// rotation is how long routers may go on sending new flows after the signal to
+	// stop: they look twice a second, and two looks must fail.
+	rotation = 1200 * time.Millisecond
 	// graceMargin is how long before the end of the grace the process ends.
 	graceMargin = time.Second
 	// stopCheck is the time between two looks at whether packets still come.
@@ -320,10 +323,14 @@
 	d.readiness.Set(false)
 	d.log.Info("entry: stopping")
 	p.keeper.Leave()
-	deadline := time.Now().Add(d.setup.Bounds.GraceTime() - graceMargin)
+	signalled := time.Now()
+	deadline := signalled.Add(d.setup.Bounds.GraceTime() - graceMargin)
 	ticker := time.NewTicker(stopCheck)
 	defer ticker.Stop()
-	for time.Now().Before(deadline) && p.forwarder.Idle() < settled && ctx.Err() == nil {
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		if time.Since(signalled) >= rotation && p.forwarder.Idle() >= settled {
+			return
+		}
 		<-ticker.C
 	}
 }
--- a/entry/process/agatedirect/direct_test.go
+++ b/entry/process/agatedirect/direct_test.go
@@ -5,8 +5,11 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"agatereach/core/process/agatesetup"
 	"agatereach/core/request/agatesegment"
@@ -146,3 +149,45 @@
 		}
 	}
 }
+
+// TestStopUnderLoad signals an entry to stop, twice, while callers go on: it says at
+// once that it is not ready, passes on whatever comes until nothing does, and ends.
+func TestStopUnderLoad(t *testing.T) {
+	server := listen(t)
+	c := newCaller(t, vip)
+	e := start(t, "vm-1", newStore(server), c.port(), func(s *agatesetup.Setup) { s.Bounds.Grace = 6 })
+	wait(t, "it is ready", e.ready)
+	for range 2 {
+		if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+	}
+	wait(t, "it is not ready", func() bool {
+		status, _ := get(e.setup.Ready, "/readyz")
+		return status == http.StatusServiceUnavailable
+	})
+	for range 10 {
+		c.flow.SourcePort++
+		c.send(e, agatesegment.Segment{Sequence: 9, Flags: agatesegment.SYN})
+		if syn, _ := receive(t, server, 8); syn.Flow != c.flow {
+			t.Errorf("%+v, want flow %v", syn.Flow, c.flow)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	wait(t, "it ends", func() bool { return strings.Contains(e.log.text(), "entry: stopped") })
+}
+
+// TestStopDuringStart signals an entry to stop that holds no catalog yet: it ends.
+func TestStopDuringStart(t *testing.T) {
+	source := newStore(listen(t))
+	source.down = true
+	e := start(t, "vm-1", source, 1, nil)
+	wait(t, "it listens", func() bool {
+		status, _ := get(e.setup.Ready, "/readyz")
+		return status == http.StatusServiceUnavailable
+	})
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	wait(t, "it ends", func() bool { return strings.Contains(e.log.text(), "entry: stopped") })
+}
