--- a/core/process/agatesilence/silence.go
+++ b/core/process/agatesilence/silence.go
@@ -59,9 +59,9 @@
 	// heard is the time of the last sign of life, and seen that of the last one
 	// that was seen here; at most heard.
 	heard, seen time.Duration
-	// witnesses are the flows without an answer since then; each is another.
-	witnesses [maxFlows]witness
-	count     int
+	// witnesses are the flows without an answer since then, maxFlows at most; each
+	// is another.
+	witnesses []witness
 	// others is what other entries report.
 	others Evidence
 	// enough is since when the evidence has been enough to confirm it; 0 if it is
@@ -86,13 +86,13 @@
 	w.heard = at
 	w.enough = 0
 	kept := 0
-	for _, each := range w.witnesses[:w.count] {
+	for _, each := range w.witnesses {
 		if each.since > at {
 			w.witnesses[kept] = each
 			kept++
 		}
 	}
-	w.count = kept
+	w.witnesses = w.witnesses[:kept]
 	if w.others.Since <= at {
 		w.others = Evidence{}
 	}
@@ -112,16 +112,15 @@
 		return
 	}
 	w.missed = now
-	for i := range w.witnesses[:w.count] {
+	for i := range w.witnesses {
 		if known := &w.witnesses[i]; known.flow == flow {
 			known.since = min(known.since, since)
 			known.firm = known.firm || firm
 			return
 		}
 	}
-	if w.count < maxFlows {
-		w.witnesses[w.count] = witness{flow: flow, since: since, firm: firm}
-		w.count++
+	if len(w.witnesses) < maxFlows {
+		w.witnesses = append(w.witnesses, witness{flow: flow, since: since, firm: firm})
 	}
 }
 
@@ -136,7 +135,7 @@
 // Own returns the flows without an answer that were seen here.
 func (w *Watch) Own() Evidence {
 	var sum Evidence
-	for _, each := range w.witnesses[:w.count] {
+	for _, each := range w.witnesses {
 		one := Evidence{Flows: 1, Since: each.since}
 		if each.firm {
 			one.Firm = 1
@@ -150,7 +149,7 @@
 func (w *Watch) Missing() Evidence { return w.Own().Add(w.others) }
 
 // Suspected reports whether the server should take no new flow.
-func (w *Watch) Suspected(p Policy) bool { return w.count+w.others.Flows >= p.Suspect }
+func (w *Watch) Suspected(p Policy) bool { return len(w.witnesses)+w.others.Flows >= p.Suspect }
 
 // Confirmed reports whether the server's open flows should be given up. It is
 // meant to be asked some ten times a second.
--- a/core/process/agatesteer/load_test.go
+++ b/core/process/agatesteer/load_test.go
@@ -166,6 +166,37 @@
 	runtime.KeepAlive(w)
 }
 
+// BenchmarkRegistrations reports the memory that each registration takes in the
+// catalog and the steerer, among those of twenty data centres.
+func BenchmarkRegistrations(b *testing.B) {
+	for _, servers := range []int{300, 6000, 120000} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			var w *world
+			var before, after runtime.MemStats
+			for b.Loop() {
+				w = newWorld(b)
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				var all []agateinstance.Instance
+				for id := range uint64(servers) {
+					all = append(all, agateinstance.Instance{
+						Key: agateinstance.Key{ID: id + 1, Born: 1}, Revision: int64(id) + 1, Service: fmt.Sprint("service-", id%1000),
+						Centre: fmt.Sprint("centre-", id%20), Slots: 3, State: agateinstance.Ready,
+						Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(id >> 16), byte(id >> 8), byte(id)}), 80),
+					})
+				}
+				w.catalog, _ = w.catalog.WithInstances(all)
+				w.update()
+				all = nil
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(servers), "B/server")
+			runtime.KeepAlive(w)
+		})
+	}
+}
+
 // many registers a number of servers in three data centres.
 func (w *world) many(servers int) []agateinstance.Instance {
 	var all []agateinstance.Instance
--- a/core/process/agatesteer/note.go
+++ b/core/process/agatesteer/note.go
@@ -112,13 +112,22 @@
 		return
 	}
 	if waits {
-		on.waiting[f] = struct{}{}
+		on.waiting = with(on.waiting, f)
 	} else {
 		delete(on.waiting, f)
 	}
 	s.countUsage(f, 0, delta(waits))
 }
 
+// with returns a set with a flow added. Most servers never have one.
+func with(set map[*flow]struct{}, f *flow) map[*flow]struct{} {
+	if set == nil {
+		set = make(map[*flow]struct{})
+	}
+	set[f] = struct{}{}
+	return set
+}
+
 // delta returns 1 or -1.
 func delta(more bool) int {
 	if more {
@@ -140,7 +149,7 @@
 	f.Owner.counted = f.Phase
 	switch f.Phase {
 	case agatetrack.Opening:
-		f.Owner.server.opening[f] = struct{}{}
+		f.Owner.server.opening = with(f.Owner.server.opening, f)
 	case agatetrack.Open:
 		f.Owner.server.open++
 		s.countUsage(f, 1, 0)
--- a/core/process/agatesteer/share.go
+++ b/core/process/agatesteer/share.go
@@ -120,6 +120,9 @@
 	}
 	if load.Missed > 0 {
 		since := now - agateload.Duration(load.Since)
+		if on.suspicions == nil {
+			on.suspicions = make(map[string]agatesilence.Evidence)
+		}
 		on.suspicions[from] = agatesilence.Evidence{Flows: int(load.Missed), Firm: int(load.Firm), Since: since}
 		on.gather()
 		if on.silence.LastSeen() > since {
--- a/core/process/agatesteer/steer.go
+++ b/core/process/agatesteer/steer.go
@@ -10,7 +10,6 @@
 
 	"agatereach/core/connection/agatetrack"
 	"agatereach/core/process/agatepick"
-	"agatereach/core/process/agatesilence"
 	"agatereach/core/request/agatesegment"
 	"agatereach/core/request/agatetuple"
 	"agatereach/core/version/agatecatalog"
@@ -99,11 +98,7 @@
 func (s *Steerer) enter(instance agateinstance.Instance, now time.Duration) {
 	known, ok := s.servers[instance.Key]
 	if !ok {
-		known = &server{
-			opening:    make(map[*flow]struct{}),
-			waiting:    make(map[*flow]struct{}),
-			suspicions: make(map[string]agatesilence.Evidence),
-		}
+		known = &server{}
 		s.servers[instance.Key] = known
 	}
 	if instance.Revision != known.instance.Revision {
--- a/core/process/agatesync/peer.go
+++ b/core/process/agatesync/peer.go
@@ -281,14 +281,11 @@
 	differs := b.Revision == own.Revision() && b.Digest != own.Digest()
 	mark(&p.behind, ahead, now)
 	mark(&p.differs, differs, now)
-	if ahead && s.behind.of != own {
-		s.behind = lag{of: own, since: now}
-	}
 	switch {
 	case ahead && s.local(p, now):
-	case ahead && (own.Revision() == 0 || now-s.behind.since >= s.policy.Behind) && now-s.asked >= s.policy.AskAgain:
-		s.asked = now
-		return []Send{{To: p.address, Notice: ask(own.Revision(), own.Version())}}
+	case ahead:
+		s.behind.note(p.address, b, own, now)
+		return s.catchUp(now)
 	case differs && now-p.differs >= s.policy.Differ && now-s.whole >= s.policy.Differ:
 		s.whole = now
 		return []Send{{To: p.address, Notice: ask(0, own.Version())}}
@@ -296,12 +293,54 @@
 	return nil
 }
 
-// lag says since when others have been ahead of a catalog.
+// lag is what others hold beyond the catalog.
 type lag struct {
-	of    *agatecatalog.Catalog
+	// version and revision are the newest that a peer has named.
+	version, revision int64
+	// since is when the first that was ahead said so, and from who did last.
 	since time.Duration
+	from  netip.AddrPort
+}
+
+// holds reports whether the catalog still lacks it.
+func (l *lag) holds(own *agatecatalog.Catalog) bool {
+	return l.version > own.Version() || l.revision > own.Revision()
 }
 
+// note takes in the heartbeat of a peer that is ahead.
+func (l *lag) note(from netip.AddrPort, b *agatenotice.Beat, own *agatecatalog.Catalog, now time.Duration) {
+	if !l.holds(own) {
+		*l = lag{since: now}
+	}
+	l.version, l.revision, l.from = max(l.version, b.Version), max(l.revision, b.Revision), from
+}
+
+// catchUp asks for what others have been ahead by for a while: it may be on its way.
+func (s *Sync) catchUp(now time.Duration) []Send {
+	own := s.Catalog()
+	due := own.Revision() == 0 || now-s.behind.since >= s.policy.Behind
+	if !s.behind.holds(own) || !due || now-s.asked < s.policy.AskAgain {
+		return nil
+	}
+	s.asked = now
+	return []Send{{To: s.behind.from, Notice: ask(own.Revision(), own.Version())}}
+}
+
+// news returns heartbeats to a few peers once the catalog is newer than the one
+// that was last told of, so that a large data centre learns of it within a few steps.
+func (s *Sync) news(now time.Duration) []Send {
+	own := s.Catalog()
+	newer := own.Version() > s.told.version || own.Revision() > s.told.revision
+	if !newer || now-s.toldAt < s.policy.Beat/2 || s.nearCount <= s.policy.Round {
+		return nil
+	}
+	s.told, s.toldAt = position{own.Version(), own.Revision()}, now
+	return address(s.sample(s.centre(), s.policy.Fanout), s.brief(nil))
+}
+
+// position is how far a catalog has come.
+type position struct{ version, revision int64 }
+
 // local reports whether what a peer of another data centre is ahead by should come
 // from one of the own: there is such a one, or may soon be, and time for it.
 func (s *Sync) local(p *peer, now time.Duration) bool {
--- a/core/process/agatesync/policy.go
+++ b/core/process/agatesync/policy.go
@@ -23,6 +23,9 @@
 	// Quiet is how long a reader may send no heartbeat before another reads in
 	// its place.
 	Quiet time.Duration
+	// Fanout is the number of entries of a large data centre that each one tells of
+	// a newer catalog.
+	Fanout int
 	// Told is the number of entries of the data centre that a reader tells at
 	// intervals of Quiet, between heartbeats, that it is there.
 	Told int
@@ -74,6 +77,7 @@
 		FarRate:    2000,
 		FarEntries: 4,
 		Quiet:      time.Second,
+		Fanout:     6,
 		Told:       64,
 		Failing:    3,
 		Expire:     3 * time.Second,
--- a/core/process/agatesync/sync.go
+++ b/core/process/agatesync/sync.go
@@ -79,8 +79,11 @@
 	// asked is when the last question was sent, and whole when the last one for
 	// everything was.
 	asked, whole time.Duration
-	// behind is since when any peer has been ahead of the catalog.
+	// behind is what peers hold beyond the catalog, and told how far the catalog had
+	// come when a few of them were last told of it, at toldAt.
 	behind lag
+	told   position
+	toldAt time.Duration
 	// pages are those that have come of an answer, and changes those changes of
 	// the configuration whose parts are coming, oldest first.
 	pages   collection
@@ -289,6 +292,8 @@
 		sends = append(sends, s.seek()...)
 	}
 	sends = append(sends, s.urge(now)...)
+	sends = append(sends, s.catchUp(now)...)
+	sends = append(sends, s.news(now)...)
 	sends = append(sends, s.keepalive(now)...)
 	return append(sends, s.beats(now)...)
 }
--- a/core/process/agatesync/sync_test.go
+++ b/core/process/agatesync/sync_test.go
@@ -166,6 +166,31 @@
 	}
 }
 
+// TestLargeCentreLearns changes the configuration, and some servers, of a data centre
+// of 100 entries whose heartbeats take 10 s to go round: all hold each change within
+// a second, and only the reader calls the store.
+func TestLargeCentreLearns(t *testing.T) {
+	f := newFleet(t, 1, 100, 2)
+	f.store.configure(1, 20)
+	f.servers(300)
+	f.run(6 * time.Second)
+	for _, e := range f.entries {
+		e.sync.SetLoads(make([]agateload.Load, 300))
+	}
+	f.run(3 * time.Second)
+	f.store.calls = 0
+	for version := range int64(4) {
+		f.store.configure(version+2, 20+int(version))
+		f.store.write(uint64(version)+1, agateinstance.Draining)
+		f.run(time.Second)
+		f.check("a second after the change")
+	}
+	// A reader reads some three times a second here.
+	if limit := 4 * 4; f.store.calls > limit {
+		t.Errorf("%d calls in four seconds, want %d at most", f.store.calls, limit)
+	}
+}
+
 // TestOutageCalls takes the store away from a large data centre for 12 s: few try,
 // and all hold the change soon after its return.
 func TestOutageCalls(t *testing.T) {
--- a/core/version/agatecatalog/draft.go
+++ b/core/version/agatecatalog/draft.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"slices"
+	"unique"
 
 	"agatereach/core/version/agateinstance"
 	"agatereach/core/version/agateshard"
@@ -68,6 +69,8 @@
 		d.digest ^= former.Digest()
 	}
 	d.digest ^= record.Digest()
+	// Each answer of a source has its own copies of the names.
+	record.Service, record.Centre = unique.Make(record.Service).Value(), unique.Make(record.Centre).Value()
 	d.instances.Set(record.Key, record)
 }
 
