Bound the memory that garbage may take during a start to 32 MB

Cause: at 300 entries the busiest took 64 MB for a while (23 MB before the collection was put off): a quarter of a VM of 280 MB. Tests: TestLargeVM, and TestCollector reads the target.

--- a/entry/process/agatecollector/collector.go
+++ b/entry/process/agatecollector/collector.go
@@ -13,8 +13,10 @@
 	// backlog is how long after the first catalog the collection stays put off:
 	// callers that waited for the entry come at once.
 	backlog = time.Second
-	// memoryShare is the part of the VM's memory that may be used meanwhile.
+	// memoryShare is the part of the VM's memory that may be used meanwhile, and
+	// mostMemory the most in bytes: what the design leaves for control.
 	memoryShare = 4
+	mostMemory  = 32 << 20
 	// off is the target that puts the collection off.
 	off = -1
 )
@@ -26,10 +28,10 @@
 }
 
 // New puts the collection off until Serving, or until a quarter of the memory in
-// MB is in use. The clean-up restores what held before.
+// MB, 32 MB at most, is in use. The clean-up restores what held before.
 func New(memoryMB int) (*Collector, func()) {
 	percent := debug.SetGCPercent(off)
-	limit := debug.SetMemoryLimit(int64(memoryMB) << 20 / memoryShare)
+	limit := debug.SetMemoryLimit(min(int64(memoryMB)<<20/memoryShare, mostMemory))
 	resume := sync.OnceFunc(func() {
 		debug.SetGCPercent(percent)
 		debug.SetMemoryLimit(limit)
