--- a/core/process/agatesync/beat.go
+++ b/core/process/agatesync/beat.go
@@ -59,8 +59,9 @@
 		s.beaten = now
 		sends = address(s.round(), s.beat())
 	}
-	if now-s.beatenFar >= s.periodFar() {
-		s.beatenFar = now
+	if period := s.periodFar(); now-s.beatenFar >= period {
+		// Entries that were started together take turns.
+		s.beatenFar = now + time.Duration((s.random()-0.5)*float64(period))
 		sends = append(sends, s.beatsFar(now)...)
 	}
 	return sends
--- a/core/process/agatesync/peer.go
+++ b/core/process/agatesync/peer.go
@@ -43,9 +43,9 @@
 	failing bool
 	// hash orders the entries of a data centre as readers.
 	hash uint64
-	// behind is since when it has been ahead of this entry, and differs since
-	// when it has held other registrations at the same revision; 0 if it is not.
-	behind, differs time.Duration
+	// differs is since when it has held other registrations at the same revision; 0
+	// if it does not.
+	differs time.Duration
 }
 
 // live reports whether the peer is known by its own word.
@@ -88,7 +88,7 @@
 func (s *Sync) quiet() time.Duration {
 	around := 3 * s.cycle()
 	if s.nearCount <= s.policy.Told {
-		around = min(around, s.policy.Quiet*missedKeepalives/2)
+		around = min(around, s.keepInterval()*missedKeepalives/2)
 	}
 	return max(s.policy.Quiet, around)
 }
@@ -108,10 +108,16 @@
 	return false
 }
 
+// keepInterval returns the time between two keepalives of a reader.
+func (s *Sync) keepInterval() time.Duration {
+	spread := time.Duration(beatSize*s.nearCount) * time.Second / time.Duration(s.policy.Rate)
+	return max(s.policy.Quiet, spread)
+}
+
 // keepalive returns what the reader of a large data centre sends between
 // heartbeats, so that it is replaced soon once it is gone.
 func (s *Sync) keepalive(now time.Duration) []Send {
-	if s.nearCount <= s.policy.Round || now-s.keptAlive < s.policy.Quiet || s.Due(now) != First {
+	if s.nearCount <= s.policy.Round || now-s.keptAlive < s.keepInterval() || s.Due(now) != First {
 		return nil
 	}
 	s.keptAlive = now
@@ -279,10 +285,10 @@
 	s.agree(p.address)
 	ahead := b.Version > own.Version() || b.Revision > own.Revision()
 	differs := b.Revision == own.Revision() && b.Digest != own.Digest()
-	mark(&p.behind, ahead, now)
 	mark(&p.differs, differs, now)
 	switch {
 	case ahead && s.local(p, now):
+		s.behindFar.note(p.address, b, own, now)
 	case ahead:
 		s.behind.note(p.address, b, own, now)
 		return s.catchUp(now)
@@ -315,15 +321,29 @@
 	l.version, l.revision, l.from = max(l.version, b.Version), max(l.revision, b.Revision), from
 }
 
-// catchUp asks for what others have been ahead by for a while: it may be on its way.
+// due returns whether what others have been ahead by for some time should be asked
+// for: it may be on its way.
+func (l *lag) due(own *agatecatalog.Catalog, patience, now time.Duration) bool {
+	return l.holds(own) && (own.Revision() == 0 || now-l.since >= patience)
+}
+
+// catchUp asks for what others are ahead by; those of other data centres, whose
+// bytes are dear, once it should have come by the own reader.
 func (s *Sync) catchUp(now time.Duration) []Send {
 	own := s.Catalog()
-	due := own.Revision() == 0 || now-s.behind.since >= s.policy.Behind
-	if !s.behind.holds(own) || !due || now-s.asked < s.policy.AskAgain {
+	if now-s.asked < s.policy.AskAgain {
 		return nil
 	}
-	s.asked = now
-	return []Send{{To: s.behind.from, Notice: ask(own.Revision(), own.Version())}}
+	for _, l := range []struct {
+		lag      *lag
+		patience time.Duration
+	}{{&s.behind, s.policy.Behind}, {&s.behindFar, s.policy.Differ}} {
+		if l.lag.due(own, l.patience, now) {
+			s.asked = now
+			return []Send{{To: l.lag.from, Notice: ask(own.Revision(), own.Version())}}
+		}
+	}
+	return nil
 }
 
 // news returns heartbeats to a few peers once the catalog is newer than the one
@@ -342,7 +362,7 @@
 type position struct{ version, revision int64 }
 
 // local reports whether what a peer of another data centre is ahead by should come
-// from one of the own: there is such a one, or may soon be, and time for it.
+// from one of the own: there is such a one, or may soon be.
 func (s *Sync) local(p *peer, now time.Duration) bool {
 	switch {
 	case p.centre == s.self.Centre:
@@ -350,7 +370,7 @@
 	case s.Catalog().Revision() == 0:
 		return now-s.started < s.policy.HeadStart/2
 	}
-	return s.nearCount > 0 && (p.behind == 0 || now-p.behind < s.policy.Differ)
+	return s.nearCount > 0
 }
 
 // agree takes a peer's last word that the catalog is the newest, if it holds the
--- a/core/process/agatesync/policy.go
+++ b/core/process/agatesync/policy.go
@@ -26,8 +26,8 @@
 	// Fanout is the number of entries of a large data centre that each one tells of
 	// a newer catalog.
 	Fanout int
-	// Told is the number of entries of the data centre that a reader tells at
-	// intervals of Quiet, between heartbeats, that it is there.
+	// Told is the number of entries of the data centre that a reader tells between
+	// heartbeats that it is there: at intervals of Quiet, or longer ones with many.
 	Told int
 	// Failing is the number of entries that may fail to read the store before the
 	// next ones in the order of readers leave it to those.
@@ -78,7 +78,7 @@
 		FarEntries: 4,
 		Quiet:      time.Second,
 		Fanout:     6,
-		Told:       64,
+		Told:       128,
 		Failing:    3,
 		Expire:     3 * time.Second,
 		ExpireFar:  time.Minute,
--- a/core/process/agatesync/sync_test.go
+++ b/core/process/agatesync/sync_test.go
@@ -191,6 +191,25 @@
 	}
 }
 
+// TestLostReaderOfOne ends the reader of a large data centre without a word, just
+// before a change: the others learn of it from other data centres, well before one
+// of them reads in its place.
+func TestLostReaderOfOne(t *testing.T) {
+	f := newFleet(t, 3, 60, 2)
+	f.store.configure(1, 20)
+	f.servers(100)
+	f.run(3 * time.Second)
+	for _, e := range f.entries {
+		e.sync.SetLoads(make([]agateload.Load, 100))
+	}
+	f.run(6 * time.Second)
+	reader := f.reader()
+	f.entries = slices.DeleteFunc(f.entries, func(o *entry) bool { return o == reader })
+	f.store.configure(2, 21)
+	f.run(2 * time.Second)
+	f.check("two seconds after the change")
+}
+
 // TestOutageCalls takes the store away from a large data centre for 12 s: few try,
 // and all hold the change soon after its return.
 func TestOutageCalls(t *testing.T) {
--- a/entry/process/agatedirect/direct.go
+++ b/entry/process/agatedirect/direct.go
@@ -168,6 +168,7 @@
 	return agatekeeper.Timing{
 		Wait:     bound * 2 / 3,
 		Answer:   bound / 6,
+		Listing:  4 * bound,
 		First:    d.syncing().HeadStart,
 		Pause:    bound / 10,
 		RetryMin: 50 * time.Millisecond,
--- a/entry/process/agatedirect/fixture_test.go
+++ b/entry/process/agatedirect/fixture_test.go
@@ -109,7 +109,7 @@
 	return s.state, s.changed, nil
 }
 
-func (s *store) List(context.Context) (agatechange.Changes, error) {
+func (s *store) List(context.Context, time.Duration) (agatechange.Changes, error) {
 	c, _, err := s.snapshot()
 	c.Whole = true
 	return c, err
--- a/entry/process/agatekeeper/reads.go
+++ b/entry/process/agatekeeper/reads.go
@@ -17,6 +17,8 @@
 	// Wait is how long a watch waits for a change, and Answer how long an
 	// answer may take beyond that.
 	Wait, Answer time.Duration
+	// Listing is how long all calls of a read of everything may take together.
+	Listing time.Duration
 	// First is the time after the start at which the store may first be read.
 	First time.Duration
 	// Pause is the time between two watches, in which changes gather.
@@ -54,10 +56,12 @@
 	if time.Now().Before(k.next) || !k.due() {
 		return
 	}
-	order := agatestorereader.Order{Whole: !k.listed, After: k.sync.Catalog().Revision(), Wait: k.timing.Wait}
-	timeout := k.timing.Answer
-	if !order.Whole {
-		timeout += order.Wait
+	order := agatestorereader.Order{
+		Whole: !k.listed, After: k.sync.Catalog().Revision(), Wait: k.timing.Wait, Answer: k.timing.Answer,
+	}
+	timeout := k.timing.Answer + order.Wait
+	if order.Whole {
+		timeout = k.timing.Listing
 	}
 	var cancel context.CancelFunc
 	order.Context, cancel = context.WithTimeout(ctx, timeout)
--- a/entry/process/agatestorereader/reader.go
+++ b/entry/process/agatestorereader/reader.go
@@ -13,8 +13,9 @@
 
 // Source reads the store. It is used by one goroutine.
 type Source interface {
-	// List returns all registrations and the configuration.
-	List(ctx context.Context) (agatechange.Changes, error)
+	// List returns all registrations and the configuration, in calls each of which
+	// may take as long as answer says.
+	List(ctx context.Context, answer time.Duration) (agatechange.Changes, error)
 	// Watch waits for changes after a revision, at most the given time. The
 	// error is an *agatechange.CompactedError if they are no longer held.
 	Watch(ctx context.Context, after int64, wait time.Duration) (agatechange.Changes, error)
@@ -28,6 +29,8 @@
 	Context context.Context
 	// Whole asks for everything rather than for the changes after a revision.
 	Whole bool
+	// Answer is how long each call of a read of everything may take.
+	Answer time.Duration
 	// After is the revision, and Wait how long to wait for changes after it.
 	After int64
 	Wait  time.Duration
@@ -89,7 +92,7 @@
 	// What cannot be read costs the read only: the entry serves on by what it holds.
 	result.Err = agatepanic.Catch("reading the store", func() (err error) {
 		if o.Whole {
-			result.Changes, err = r.source.List(o.Context)
+			result.Changes, err = r.source.List(o.Context, o.Answer)
 		} else {
 			result.Changes, err = r.source.Watch(o.Context, o.After, o.Wait)
 		}
