--- a/core/process/agatesteer/share_test.go
+++ b/core/process/agatesteer/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"agatereach/core/process/agatesteer"
 
@@ -114,3 +115,35 @@
 		t.Errorf("%+v after %+v", moved, first)
 	}
 }
+
+// TestRareStatements hears of the load of a server from an entry of a large data
+// centre, which speaks each 4.5 s: its word counts until the next one, though one is
+// lost, and not for ever.
+func TestRareStatements(t *testing.T) {
+	const interval = 4500 * ms
+	w := newWorld(t)
+	busy := w.server(1, "a", agateinstance.Ready)
+	w.server(2, "a", agateinstance.Ready)
+	token, _ := w.catalog.Token(busy.Key)
+	for range 2 {
+		w.run(interval)
+		w.steerer.Report("vm-2", []agateload.Load{{Token: token, Waiting: 20 * agateload.Unit}}, false, w.now)
+	}
+	chosen := func() int {
+		count := 0
+		for range 4 {
+			if w.call(orders).open().Server == 1 {
+				count++
+			}
+		}
+		return count
+	}
+	w.run(2*interval - ms)
+	if got := chosen(); got > 0 {
+		t.Errorf("%d flows went to the busy server before the next word", got)
+	}
+	w.run(30 * time.Second)
+	if got := chosen(); got == 0 {
+		t.Error("no flow goes to a server of which nobody speaks any more")
+	}
+}
--- a/core/process/agatesync/fleet_test.go
+++ b/core/process/agatesync/fleet_test.go
@@ -129,8 +129,8 @@
 	far int
 	// listings counts the reads of entries that held nothing.
 	listings int
-	// bytes and posts count what was sent.
-	bytes, posts int
+	// bytes and posts count what was sent, and asked the questions among it.
+	bytes, posts, asked int
 }
 
 func newFleet(t testing.TB, centres, size int, seed uint64) *fleet {
@@ -208,6 +208,9 @@
 			f.t.Fatalf("a notice of %d bytes", len(datagram))
 		}
 		f.posts++
+		if send.Notice.Ask != nil {
+			f.asked++
+		}
 		f.bytes += len(datagram)
 		e.bytes += len(datagram)
 		if to := f.by[send.To]; to != nil && to.centre != e.centre {
--- a/core/process/agatesync/sync.go
+++ b/core/process/agatesync/sync.go
@@ -79,12 +79,13 @@
 	// asked is when the last question was sent, and whole when the last one for
 	// everything was.
 	asked, whole time.Duration
-	// behind is what peers of the data centre hold beyond the catalog, behindFar what
-	// those of others do, and told how far the catalog had
-	// come when a few of them were last told of it, at toldAt.
+	// behind is what peers of the data centre hold beyond the catalog, and behindFar
+	// what those of others do.
 	behind, behindFar lag
-	told              position
-	toldAt            time.Duration
+	// told is how far the catalog had come when a few peers were last told of it, at
+	// toldAt.
+	told   position
+	toldAt time.Duration
 	// pages are those that have come of an answer, and changes those changes of
 	// the configuration whose parts are coming, oldest first.
 	pages   collection
--- a/core/process/agatesync/sync_test.go
+++ b/core/process/agatesync/sync_test.go
@@ -1,12 +1,14 @@
 package agatesync_test
 
 import (
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"agatereach/core/process/agatenotice"
 	"agatereach/core/process/agatesync"
 	"agatereach/core/request/agateload"
 	"agatereach/core/version/agatechange"
@@ -210,6 +212,29 @@
 	f.check("two seconds after the change")
 }
 
+// TestFalseRevision lets one heartbeat claim a revision that nobody holds: it is asked
+// for a few times, and no more once nobody says so again.
+func TestFalseRevision(t *testing.T) {
+	f := newFleet(t, 1, 4, 2)
+	f.store.configure(1, 5)
+	f.servers(5)
+	f.run(3 * time.Second)
+	liar := netip.MustParseAddrPort("10.9.9.9:7720")
+	e := f.entries[0]
+	f.post(e, e.sync.Receive(liar, agatenotice.Notice{Beat: &agatenotice.Beat{
+		Name: "liar", Centre: "a", Boot: 9, Version: 1, Revision: 1 << 50, Digest: 1,
+	}}, f.now))
+	f.run(4 * time.Second)
+	f.asked = 0
+	f.run(4 * time.Second)
+	if f.asked > 0 {
+		t.Errorf("asked %d times", f.asked)
+	}
+	f.store.write(2, agateinstance.Draining)
+	f.run(time.Second)
+	f.check("after the false word")
+}
+
 // TestOutageCalls takes the store away from a large data centre for 12 s: few try,
 // and all hold the change soon after its return.
 func TestOutageCalls(t *testing.T) {
