Log what each answer of the store held and whether it was applied

Three hypotheses on the restored store could not be told apart: no log line gave the revision and the era of an answer, what it was asked from, or whether it changed the catalog. A line `store: answer` gives all of these, for answers that hold more than a confirmation; `config: in force` names the revision and the store or entry that the version came from.

--- a/core/version/agatechange/change.go
+++ b/core/version/agatechange/change.go
@@ -9,16 +9,18 @@
 	"agatereach/core/version/agateinstance"
 )
 
-// CompactedError reports that the source no longer has the changes after a
+// CompactedError reports that the source does not have the changes after a
 // revision, so that a complete listing must be read.
 type CompactedError struct {
 	// After is the revision after which changes were requested.
 	After int64
+	// Era is the era of the source that answered; 0 if it is not known.
+	Era uint32
 }
 
 // Error names the revision.
 func (e *CompactedError) Error() string {
-	return fmt.Sprintf("changes after revision %d are no longer held", e.After)
+	return fmt.Sprintf("changes after revision %d are not held in era %d", e.After, e.Era)
 }
 
 // Removal is a registration that was removed or can't be read.
@@ -53,6 +55,9 @@
 
 // Changes is one delivery of a source.
 type Changes struct {
+	// Era is the source's era, which rises each time the source has lost changes
+	// that it had acknowledged; 0 if it is not known.
+	Era uint32
 	// Revision is the revision up to which all changes have been delivered.
 	Revision int64
 	// Complete is whether Instances is a complete listing of the registrations rather
--- a/entry/process/agatekeeper/keeper.go
+++ b/entry/process/agatekeeper/keeper.go
@@ -86,6 +86,8 @@
 	loggedMalformed uint64
 	// loggedUnencoded is the number of logged changes that could not be encoded.
 	loggedUnencoded uint64
+	// storeEra is the era of the store's last answer.
+	storeEra uint32
 	// storeFailing is whether a read has failed since the last successful one.
 	storeFailing bool
 	// publishedView is the view last passed to the handlers.
@@ -218,7 +220,7 @@
 	}
 	k.send(k.sync.Tick(k.now()))
 	k.advanceRead(ctx)
-	k.publish()
+	k.publish("")
 	k.logPeerChanges()
 }
 
@@ -255,7 +257,7 @@
 // handleNotice processes a notice of another entry.
 func (k *Keeper) handleNotice(r receivedNotice) {
 	sends := k.sync.Receive(r.from, r.notice, k.now())
-	k.publish()
+	k.publish(r.from.String())
 	k.send(sends)
 	if b := r.notice.Heartbeat; b != nil && len(b.Loads) > 0 {
 		k.handlers.Loads(b.Name, b.Loads, b.Partial)
@@ -271,8 +273,9 @@
 	k.sync.SetLoads(update.Loads)
 }
 
-// publish passes the view to the handlers and the metrics if it has changed.
-func (k *Keeper) publish() {
+// publish passes the view to the handlers and the metrics if it has changed. source
+// names the store or the entry from which the change was learnt.
+func (k *Keeper) publish(source string) {
 	view := View{Catalog: k.sync.Catalog()}
 	if confirmed := k.sync.ConfirmedAt(); confirmed > 0 {
 		view.ConfirmedAt = k.clockStart.Add(confirmed)
@@ -281,7 +284,7 @@
 		return
 	}
 	if from := k.publishedVersion(); view.Catalog.Version() != from {
-		k.log.Info("config: in force", "version", view.Catalog.Version(), "from", from)
+		k.log.Info("config: in force", "version", view.Catalog.Version(), "from", from, "revision", view.Catalog.Revision(), "source", source)
 	}
 	k.updateMetrics(view)
 	k.publishedView = view
--- a/entry/process/agatekeeper/reads.go
+++ b/entry/process/agatekeeper/reads.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"agatereach/core/process/agatesync"
+	"agatereach/core/version/agatecatalog"
 	"agatereach/core/version/agatechange"
 	"agatereach/entry/process/agatemeter"
 	"agatereach/entry/process/agatestorereader"
@@ -131,12 +132,36 @@
 	if r.Changes.Malformed > 0 {
 		k.log.Warn("store: entries not understood", "entries", r.Changes.Malformed)
 	}
+	before := k.sync.Catalog()
 	sends := k.sync.HandleRead(r.Changes, r.ConfirmedAt().Sub(k.clockStart), k.now())
 	// Callers wait for the new catalog, so it is published before notices are sent.
-	k.publish()
+	k.publish(sourceStore)
+	k.logAnswer(&r, before)
 	k.send(sends)
 }
 
+// sourceStore names the store in log lines.
+const sourceStore = "store"
+
+// logAnswer logs an answer of the store that holds more than the confirmation of the
+// catalog held before it.
+func (k *Keeper) logAnswer(r *agatestorereader.Result, before *agatecatalog.Catalog) {
+	c := &r.Changes
+	known := c.Era == k.storeEra
+	k.storeEra = c.Era
+	if known && !c.Complete && c.Config == nil && len(c.Instances) == 0 && len(c.Removals) == 0 {
+		return
+	}
+	version := int64(0)
+	if c.Config != nil {
+		version = c.Config.Version
+	}
+	after := k.sync.Catalog()
+	k.log.Info("store: answer", "complete", c.Complete, "after", r.Request.AfterRevision, "era", c.Era, "revision", c.Revision,
+		"version", version, "servers", len(c.Instances), "removals", len(c.Removals),
+		"held", before.Version(), "at", before.Revision(), "applied", after != before)
+}
+
 // logUnreadableAddresses logs the virtual addresses of a new configuration that could
 // not be decoded.
 func (k *Keeper) logUnreadableAddresses(c agatechange.Changes) {
@@ -164,7 +189,7 @@
 func (k *Keeper) handleReadError(err error) {
 	var compacted *agatechange.CompactedError
 	if errors.As(err, &compacted) {
-		k.log.Info("store: history is gone, reading everything", "after", compacted.After)
+		k.log.Info("store: history is gone, reading everything", "after", compacted.After, "era", compacted.Era)
 		k.listingDone = false
 		k.nextRead = time.Time{}
 		return
