Reproduce changes lost after a store is restored from a copy

The stand-ins can be restored from a copy: agatehistory, and on it the stand-in of the platform's store, takes revisions back, gives them out again, refuses a watch from one that it does not have and names the next era; agateplatform does the same with tickets and their numbers. The soak draws restores, of copies up to 10 s old, after which the operator and the servers that still run write again what was lost.

--- a/bench/agatefarm/farm.go
+++ b/bench/agatefarm/farm.go
@@ -66,6 +66,18 @@
 	return f.servers[key]
 }
 
+// Runs reports whether a server with the id runs.
+func (f *Farm) Runs(id uint64) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for key := range f.servers {
+		if key.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
 // Stop ends a server with all its flows.
 func (f *Farm) Stop(key agateinstance.Key) {
 	f.mutex.Lock()
--- a/bench/agateplan/plan.go
+++ b/bench/agateplan/plan.go
@@ -32,6 +32,10 @@
 	StoreAll  Kind = "storeall"
 	// Compact drops the store's history.
 	Compact Kind = "compact"
+	// Restore makes the store fail Age after the step's begin, for the step's time, and
+	// come back as it was at the begin. What was written since is lost and then written
+	// again; Deep makes removals wait for the servers' leases instead.
+	Restore Kind = "restore"
 	// Garble writes what is no registration into the store, and takes it away.
 	Garble Kind = "garble"
 	// Lossy makes the datagrams to one entry from the others late and lost.
@@ -71,6 +75,8 @@
 	Mode agatevalve.Mode
 	// Deep makes it the harder variant.
 	Deep bool
+	// Age is how old the copy of a Restore is when the store fails.
+	Age time.Duration
 }
 
 const (
@@ -81,8 +87,12 @@
 	seriesShare = 0.15
 	maxSeries   = 4
 	seriesGap   = 300 * time.Millisecond
-	minFor      = 200 * time.Millisecond
-	maxFor      = 5 * time.Second
+	// restoreGap is the time between two restores, on average, and maxAge the
+	// greatest age of a copy.
+	restoreGap = 10 * time.Second
+	maxAge     = 10 * time.Second
+	minFor     = 200 * time.Millisecond
+	maxFor     = 5 * time.Second
 )
 
 // New draws the steps from begin to end, in the order of their times. All are
@@ -102,10 +112,28 @@
 			steps = append(steps, series(random, step, end)...)
 		}
 	}
+	steps = append(steps, restores(seed, begin, end)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
 
+// restores draws the restores. They have a source of their own, so that they change
+// none of a seed's other steps.
+func restores(seed uint64, begin, end time.Duration) []Step {
+	random := rand.New(rand.NewPCG(seed, seed^0xc09e))
+	var steps []Step
+	for at := begin; ; {
+		at += time.Duration(random.ExpFloat64() * float64(restoreGap))
+		if at >= end {
+			return steps
+		}
+		step := draw(random, at, end)
+		step.Kind = Restore
+		step.Age = min(time.Duration(random.Float64()*float64(maxAge)), end-at-step.For)
+		steps = append(steps, step)
+	}
+}
+
 // draw returns a step at a time.
 func draw(random *rand.Rand, at, end time.Duration) Step {
 	lasts := minFor + time.Duration(random.Float64()*random.Float64()*float64(maxFor-minFor))
--- a/bench/agateplan/plan_test.go
+++ b/bench/agateplan/plan_test.go
@@ -24,7 +24,7 @@
 		}
 		last := 2 * time.Second
 		for _, s := range steps {
-			if s.At < last || s.For < 0 || s.At+s.For > end {
+			if s.At < last || s.For < 0 || s.At+s.Age+s.For > end {
 				t.Fatalf("%+v after %v, end %v", s, last, end)
 			}
 			last = s.At
@@ -45,7 +45,7 @@
 			}
 		}
 	}
-	const kinds = 19
+	const kinds = 20
 	if len(found) != kinds || overlap == 0 {
 		t.Errorf("%d kinds, %d overlaps", len(found), overlap)
 	}
--- a/bench/agateplatform/log.go
+++ b/bench/agateplatform/log.go
@@ -25,6 +25,9 @@
 // Head returns the number of the newest ticket, 0 for none.
 func (l *Log) Head() uint64 { return uint64(len(l.tickets)) }
 
+// Truncate forgets all tickets above the given number.
+func (l *Log) Truncate(head uint64) { l.tickets = l.tickets[:min(head, l.Head())] }
+
 // Append accepts the ticket under the next number, which it returns. The
 // errors are those of the ticket's check.
 func (l *Log) Append(t agateticket.Ticket) (uint64, error) {
--- a/bench/agateplatform/platform.go
+++ b/bench/agateplatform/platform.go
@@ -51,6 +51,12 @@
 	Back  uint64 `json:"back"`
 }
 
+// Restore makes the stand-in come back from a copy that lacks the newest Back tickets.
+// Their numbers are given out again, in the next era.
+type Restore struct {
+	Back uint64 `json:"back"`
+}
+
 // Accepted says under which number a ticket was accepted, and when.
 type Accepted struct {
 	Number uint64 `json:"number"`
@@ -77,6 +83,8 @@
 	log  Log
 	vms  agatevmlist.List
 	mode Mode
+	// era rises by one with each restore.
+	era uint32
 	// ceiling is the newest ticket that is shown.
 	ceiling uint64
 	// changed is closed and replaced at each change.
@@ -93,6 +101,7 @@
 		limiter: rate.NewLimiter(rate.Limit(s.Rate), readBurst),
 		lag:     s.Lag,
 		vms:     agatevmlist.List{Version: 1, VMs: s.VMs},
+		era:     1,
 		ceiling: math.MaxUint64,
 		changed: make(chan struct{}),
 	}
@@ -105,6 +114,7 @@
 	agatecontrol.Handle(mux, "/publish", p.publish)
 	agatecontrol.Handle(mux, "/vms", p.setVMs)
 	agatecontrol.Handle(mux, "/mode", p.setMode)
+	agatecontrol.Handle(mux, "/restore", p.restore)
 	agatecontrol.Handle(mux, "/counts", p.getCounts)
 	return p.listen(s.Address)
 }
@@ -161,6 +171,15 @@
 	return agatecontrol.None{}, nil
 }
 
+func (p *Platform) restore(r Restore) (agatecontrol.None, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.log.Truncate(p.log.Head() - min(r.Back, p.log.Head()))
+	p.era++
+	p.wake()
+	return agatecontrol.None{}, nil
+}
+
 func (p *Platform) getCounts(agatecontrol.None) (Counts, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -191,7 +210,7 @@
 }
 
 // serve wraps a read: it counts it, refuses it or lets it wait for a change.
-func (p *Platform) serve(read func(after uint64) (any, bool)) http.HandlerFunc {
+func (p *Platform) serve(read func(q query) (any, bool)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		served, down := p.admit(time.Now())
 		if down {
@@ -203,23 +222,23 @@
 			http.Error(w, "too many reads", http.StatusTooManyRequests)
 			return
 		}
-		after, wait, ok := parameters(r)
-		if !ok {
-			http.Error(w, "after and wait must be numbers", http.StatusBadRequest)
+		q, err := parameters(r)
+		if err != nil {
+			http.Error(w, "after, era and wait must be numbers", http.StatusBadRequest)
 			return
 		}
 		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(p.await(r.Context(), after, wait, read))
+		_ = json.NewEncoder(w).Encode(p.await(r.Context(), q, read))
 	}
 }
 
 // await calls read until it has news or the wait is over.
-func (p *Platform) await(ctx context.Context, after uint64, wait time.Duration, read func(uint64) (any, bool)) any {
-	timer := time.NewTimer(wait)
+func (p *Platform) await(ctx context.Context, q query, read func(query) (any, bool)) any {
+	timer := time.NewTimer(q.wait)
 	defer timer.Stop()
 	for {
 		p.mu.Lock()
-		result, news := read(after)
+		result, news := read(q)
 		changed := p.changed
 		p.mu.Unlock()
 		if news {
@@ -235,30 +254,52 @@
 	}
 }
 
-// tickets returns the batch behind after; p.mu is held.
-func (p *Platform) tickets(after uint64) (any, bool) {
+// tickets returns the batch behind the number that was asked for, or from the first
+// ticket on if that number is of another era; p.mu is held.
+func (p *Platform) tickets(q query) (any, bool) {
+	after := q.after
+	if q.era != 0 && q.era != p.era {
+		after = 0
+	}
 	batch := p.log.Batch(after, p.ceiling, maxBody)
-	return batch, batch.Upto > after
+	batch.Era = p.era
+	return batch, batch.Upto > after || after != q.after
 }
 
 // list returns the list of VMs; p.mu is held.
-func (p *Platform) list(after uint64) (any, bool) { return p.vms, p.vms.Version > after }
+func (p *Platform) list(q query) (any, bool) { return p.vms, p.vms.Version > q.after }
 
-func parameters(r *http.Request) (after uint64, wait time.Duration, ok bool) {
-	query := r.URL.Query()
-	if text := query.Get("after"); text != "" {
-		number, err := strconv.ParseUint(text, 10, 64)
-		if err != nil {
-			return 0, 0, false
+// query is what a read asks for.
+type query struct {
+	after uint64
+	// era is that of after; 0 if the reader does not know it.
+	era  uint32
+	wait time.Duration
+}
+
+// parameters decodes the query of a read.
+func parameters(r *http.Request) (query, error) {
+	var q query
+	var seconds uint64
+	for name, set := range map[string]func(uint64){
+		"after": func(n uint64) { q.after = n },
+		"era":   func(n uint64) { q.era = uint32(n) },
+		"wait":  func(n uint64) { seconds = n },
+	} {
+		text := r.URL.Query().Get(name)
+		if text == "" {
+			continue
 		}
-		after = number
-	}
-	if text := query.Get("wait"); text != "" {
-		seconds, err := strconv.ParseUint(text, 10, 32)
+		bits := 32
+		if name == "after" {
+			bits = 64
+		}
+		number, err := strconv.ParseUint(text, 10, bits)
 		if err != nil {
-			return 0, 0, false
+			return q, err
 		}
-		wait = min(time.Duration(seconds)*time.Second, maxWait)
+		set(number)
 	}
-	return after, wait, true
+	q.wait = min(time.Duration(seconds)*time.Second, maxWait)
+	return q, nil
 }
--- a/bench/agatesoak/steps.go
+++ b/bench/agatesoak/steps.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -11,6 +12,7 @@
 	"agatereach/bench/agateplan"
 	"agatereach/bench/agatepromise"
 	"agatereach/bench/agatevalve"
+	"agatereach/platform/agatestandin"
 )
 
 // Faults of the paths.
@@ -76,6 +78,8 @@
 	case agateplan.Compact:
 		s.record.Disturbed("", s.now(), s.now())
 		s.store.Compact()
+	case agateplan.Restore:
+		s.restore(step)
 	case agateplan.Garble:
 		s.store.RegisterMalformed(uint64(step.Place))
 		s.sleep(step.For)
@@ -187,6 +191,43 @@
 	}
 }
 
+// maxRewrite is the longest time after a restore in which what was lost is written
+// again.
+const maxRewrite = 1500 * time.Millisecond
+
+// restore makes the store come back from a copy. The operator and the servers that
+// still run write again what was lost.
+func (s *soak) restore(step agateplan.Step) {
+	c := s.store.Copy()
+	s.sleep(step.Age)
+	s.disturb(step, 0)
+	for _, valve := range s.valves {
+		valve.Set(step.Mode)
+	}
+	s.sleep(step.For)
+	lost := s.store.Restore(c)
+	for _, valve := range s.valves {
+		valve.Set(agatevalve.Open)
+	}
+	s.record.Disturbed("", s.now(), s.now())
+	var writers sync.WaitGroup
+	for i, item := range lost {
+		delay := time.Duration(step.Place>>(i%16)%16) * maxRewrite / 15
+		id, server := agatestandin.Server(item)
+		switch {
+		case item.Tombstone && step.Deep:
+			delay = expiry
+		case server && !item.Tombstone && !s.farm.Runs(id):
+			continue
+		}
+		writers.Go(func() {
+			s.sleep(delay)
+			s.store.Repeat(item)
+		})
+	}
+	writers.Wait()
+}
+
 // cutCentre cuts off the data centre of a place.
 func (s *soak) cutCentre(step agateplan.Step, place int) {
 	centre := s.ground.Centre(place)
--- a/core/process/agatenode/fleet_test.go
+++ b/core/process/agatenode/fleet_test.go
@@ -55,8 +55,10 @@
 	parted map[[2]uint16]bool
 	// tickets is what the platform serves, listed the VMs of its list.
 	tickets []agateticket.Ticket
-	listed  agatevmlist.List
-	down    bool
+	// era rises by one with each restore of the platform.
+	era    uint32
+	listed agatevmlist.List
+	down   bool
 	// hurried says that the platform holds no reads.
 	hurried bool
 	// limit is the number of reads that the platform answers in a second, 0
@@ -71,7 +73,7 @@
 func newFleet(centres, entries int, fail func(string, ...any)) *fleet {
 	f := &fleet{
 		now: time.Unix(1700000000, 0), boots: map[uint64]*place{}, links: map[[2]uint64]bool{},
-		parted: map[[2]uint16]bool{}, fail: fail,
+		parted: map[[2]uint16]bool{}, fail: fail, era: 1,
 	}
 	for i := range centres * entries {
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(i >> 8), byte(i), 1}), 7001)
@@ -303,10 +305,20 @@
 	}
 }
 
+// batch returns the tickets after a number, all of them after one that has not been
+// given out in this era.
 func (f *fleet) batch(after uint64) *agatebatch.Batch {
 	head := uint64(len(f.tickets))
-	after = min(after, head)
-	return &agatebatch.Batch{After: after, Upto: head, Head: head, Tickets: f.tickets[after:]}
+	if after > head {
+		after = 0
+	}
+	return &agatebatch.Batch{Era: f.era, After: after, Upto: head, Head: head, Tickets: f.tickets[after:]}
+}
+
+// restore makes the platform come back from a copy with the tickets up to head.
+func (f *fleet) restore(head int) {
+	f.tickets = slices.Clone(f.tickets[:head])
+	f.era++
 }
 
 // live returns the places that have a process.
--- a/core/process/agatenode/node_test.go
+++ b/core/process/agatenode/node_test.go
@@ -390,3 +390,22 @@
 		t.Error("process is stale with all that its peer holds")
 	}
 }
+
+// TestRestoredPlatformReusesNumbers guards against tickets that are never in force since
+// their numbers were in use before the platform was restored from a copy.
+func TestRestoredPlatformReusesNumbers(t *testing.T) {
+	f := newFleet(3, 3, t.Fatalf)
+	for _, name := range []string{"a", "b", "c", "d"} {
+		f.publish(name)
+	}
+	f.run(10 * time.Second)
+	f.restore(2)
+	f.run(5 * time.Second)
+	f.publish("e")
+	f.run(5 * time.Second)
+	for _, p := range f.places {
+		if _, found := p.node.State().Teams().Get("e"); !found {
+			t.Errorf("%s does not hold the ticket that was published after the restore", p.vm.ID)
+		}
+	}
+}
--- a/core/process/agatesync/fleet_test.go
+++ b/core/process/agatesync/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -24,10 +25,14 @@
 // mergePolicy is the policy of the entries' mergers.
 var mergePolicy = agatemerge.Policy{RemovalGrace: bound / 3, OutageGrace: 2 * time.Second, GoneRetention: time.Minute}
 
-// store is an in-memory store that never compacts its history.
+// store is an in-memory store that never compacts its history and can be restored from
+// a copy.
 type store struct {
+	era      uint32
 	revision int64
 	config   *agatecatalog.Config
+	// configRevision is the revision of the configuration.
+	configRevision int64
 	// registrations and removals are by server id; removals holds revisions.
 	registrations map[uint64]agateinstance.Instance
 	removals      map[uint64]int64
@@ -38,7 +43,7 @@
 }
 
 func newStore() *store {
-	return &store{registrations: make(map[uint64]agateinstance.Instance), removals: make(map[uint64]int64)}
+	return &store{era: 1, registrations: make(map[uint64]agateinstance.Instance), removals: make(map[uint64]int64)}
 }
 
 // write registers a server in the given state.
@@ -61,6 +66,7 @@
 // configure writes a configuration with the given number of virtual addresses.
 func (s *store) configure(version int64, vips int) {
 	s.revision++
+	s.configRevision = s.revision
 	s.config = &agatecatalog.Config{Version: version}
 	for i := range vips {
 		s.config.VIPs = append(s.config.VIPs, agatevip.VIP{
@@ -70,10 +76,31 @@
 	}
 }
 
-// read returns the changes after a revision, or a full listing for revision 0.
+// copy returns a copy of the store's content.
+func (s *store) copy() store {
+	c := *s
+	c.registrations, c.removals = maps.Clone(s.registrations), maps.Clone(s.removals)
+	return c
+}
+
+// restore replaces the content by that of a copy.
+func (s *store) restore(c store) {
+	s.era++
+	s.revision, s.config, s.configRevision = c.revision, c.config, c.configRevision
+	s.registrations, s.removals = maps.Clone(c.registrations), maps.Clone(c.removals)
+}
+
+// read returns the changes after a revision, or a full listing for revision 0 and for
+// one that has not been given out in this era.
 func (s *store) read(after int64) agatechange.Changes {
 	s.calls++
-	c := agatechange.Changes{Revision: s.revision, Complete: after == 0, Config: s.config}
+	if after > s.revision {
+		after = 0
+	}
+	c := agatechange.Changes{Era: s.era, Revision: s.revision, Complete: after == 0}
+	if s.configRevision > after {
+		c.Config = s.config
+	}
 	for _, instance := range s.registrations {
 		if instance.Revision > after {
 			c.Instances = append(c.Instances, instance)
--- a/core/version/agatebatch/batch.go
+++ b/core/version/agatebatch/batch.go
@@ -29,6 +29,9 @@
 // object has been set anew by a later one up to Upto may be left out, and so
 // may such objects of a ticket.
 type Batch struct {
+	// Era is the era of the platform, which rises each time the platform has lost
+	// tickets that it had accepted; 0 if it is not known.
+	Era uint32 `json:"era,omitempty"`
 	// After is the number behind which the batch starts.
 	After uint64 `json:"after"`
 	// Upto is the number of the last ticket that the batch covers, not less
--- a/core/version/agatehistory/history.go
+++ b/core/version/agatehistory/history.go
@@ -4,6 +4,8 @@
 package agatehistory
 
 import (
+	"bytes"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -22,29 +24,92 @@
 // History holds the records and their history. It is safe for concurrent use.
 type History struct {
 	mutex sync.Mutex
+	state
+	// era rises by one with each restore, and written holds the keys that have changed
+	// since the last one.
+	era     uint32
+	written map[string]bool
+	// changed is closed and replaced on every change.
+	changed chan struct{}
+}
+
+// state is what a copy holds.
+type state struct {
 	// items are sorted by key, events by revision.
 	items, events []Item
 	// revision is that of the newest change; events up to compacted were dropped.
 	revision, compacted int64
-	// changed is closed and replaced on every change.
-	changed chan struct{}
 }
 
-// New returns a history without records at revision 1.
-func New() *History { return &History{revision: 1, changed: make(chan struct{})} }
+// New returns a history without records, in era 1 at revision 1.
+func New() *History {
+	return &History{state: state{revision: 1}, era: 1, written: make(map[string]bool), changed: make(chan struct{})}
+}
+
+// Copy is the content of a history at one moment. It is immutable.
+type Copy struct{ state }
+
+// Copy returns a copy of the history.
+func (h *History) Copy() *Copy {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	c := &Copy{h.state}
+	c.items, c.events = slices.Clone(h.items), slices.Clone(h.events)
+	return c
+}
+
+// Restore replaces the content by that of an earlier copy. Revisions after that of the
+// copy are given out again. It returns the changes that lead back to the former content,
+// in the order of their keys.
+func (h *History) Restore(c *Copy) []Item {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	lost := make(map[string]Item)
+	for _, item := range c.items {
+		lost[item.Key] = Item{Key: item.Key, Tombstone: true}
+	}
+	for _, item := range h.items {
+		lost[item.Key] = item
+	}
+	for _, item := range c.items {
+		if bytes.Equal(lost[item.Key].Value, item.Value) && !lost[item.Key].Tombstone {
+			delete(lost, item.Key)
+		}
+	}
+	h.state = c.state
+	h.items, h.events = slices.Clone(c.items), slices.Clone(c.events)
+	h.era++
+	clear(h.written)
+	h.notify()
+	return slices.SortedFunc(maps.Values(lost), func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
+}
+
+// Repeat applies a lost change again, unless its key has changed since the restore.
+func (h *History) Repeat(lost Item) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if !h.written[lost.Key] {
+		h.apply(lost)
+	}
+}
 
 // Put stores a value under a key.
-func (h *History) Put(key string, value []byte) { h.apply(Item{Key: key, Value: value}) }
+func (h *History) Put(key string, value []byte) { h.change(Item{Key: key, Value: value}) }
 
 // Delete deletes the record of a key.
-func (h *History) Delete(key string) { h.apply(Item{Key: key, Tombstone: true}) }
+func (h *History) Delete(key string) { h.change(Item{Key: key, Tombstone: true}) }
 
-// apply stores a change under the next revision.
-func (h *History) apply(change Item) {
+func (h *History) change(change Item) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	h.apply(change)
+}
+
+// apply stores a change under the next revision. The caller holds the mutex.
+func (h *History) apply(change Item) {
 	h.revision++
 	change.Revision = h.revision
+	h.written[change.Key] = true
 	index, exists := slices.BinarySearchFunc(h.items, change, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
 	switch {
 	case exists && change.Tombstone:
@@ -73,31 +138,43 @@
 	h.changed = make(chan struct{})
 }
 
-// List returns up to limit records whose keys have the prefix and are above after, in
-// the order of their keys, and whether there are more. The revision is that of the
-// newest change.
-func (h *History) List(prefix, after string, limit int) (items []Item, more bool, revision int64) {
+// Listing is a page of the records.
+type Listing struct {
+	// Items are in the order of their keys, and More is whether there are more.
+	Items []Item
+	More  bool
+	// Era and Revision are those of the newest change.
+	Era      uint32
+	Revision int64
+}
+
+// List returns up to limit records whose keys have the prefix and are above after.
+func (h *History) List(prefix, after string, limit int) Listing {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	l := Listing{Era: h.era, Revision: h.revision}
 	for _, candidate := range h.items {
 		if !strings.HasPrefix(candidate.Key, prefix) || candidate.Key <= after {
 			continue
 		}
-		if len(items) == limit {
-			return items, true, h.revision
+		if len(l.Items) == limit {
+			l.More = true
+			break
 		}
-		items = append(items, candidate)
+		l.Items = append(l.Items, candidate)
 	}
-	return items, false, h.revision
+	return l
 }
 
 // Events is what a watch finds.
 type Events struct {
-	// Items holds the events after the watched revision, and Revision is that of the
-	// newest change.
+	// Items holds the events after the watched revision. Era and Revision are those of
+	// the newest change.
 	Items    []Item
+	Era      uint32
 	Revision int64
-	// Missing is whether the history after the watched revision is not held.
+	// Missing is whether the history after the watched revision is not held: it was
+	// dropped, or the revision has not been given out in this era.
 	Missing bool
 	// Changed is closed on the next change.
 	Changed <-chan struct{}
@@ -109,6 +186,7 @@
 	defer h.mutex.Unlock()
 	first, _ := slices.BinarySearchFunc(h.events, revision+1, func(e Item, r int64) int { return int(e.Revision - r) })
 	return Events{
-		Items: slices.Clone(h.events[first:]), Revision: h.revision, Missing: revision < h.compacted, Changed: h.changed,
+		Items: slices.Clone(h.events[first:]), Era: h.era, Revision: h.revision,
+		Missing: revision < h.compacted || revision > h.revision, Changed: h.changed,
 	}
 }
