--- a/core/process/agatedump/dump.go
+++ b/core/process/agatedump/dump.go
@@ -16,9 +16,10 @@
 	VM     string `json:"vm"`
 	Centre string `json:"centre"`
 	Boot   uint64 `json:"boot"`
-	// Version and Revision are those of the current catalog.
-	Version  int64 `json:"version"`
-	Revision int64 `json:"revision"`
+	// Version, Era and Revision are those of the current catalog.
+	Version  int64  `json:"version"`
+	Era      uint32 `json:"era"`
+	Revision int64  `json:"revision"`
 	// Age is the time since the catalog was last known to be up to date; negative
 	// if it never was.
 	Age time.Duration `json:"age"`
--- a/core/process/agatemerge/merge.go
+++ b/core/process/agatemerge/merge.go
@@ -10,6 +10,7 @@
 	"agatereach/core/version/agatecatalog"
 	"agatereach/core/version/agatechange"
 	"agatereach/core/version/agateinstance"
+	"agatereach/core/version/agateposition"
 )
 
 // Policy holds the grace periods and the retention time.
@@ -21,6 +22,9 @@
 	// OutageGrace is how long after the last failed read a server is kept whose
 	// registration is removed without draining first.
 	OutageGrace time.Duration
+	// LeaseTime is how long a restored source may list a registration whose server has
+	// ended: until the lease has run out.
+	LeaseTime time.Duration
 	// GoneRetention is how long the record of an incarnation that is gone is
 	// retained; at least the maximum lifetime of a flow.
 	GoneRetention time.Duration
@@ -29,8 +33,8 @@
 // pendingRemoval is a removed registration whose server is still in its grace
 // period.
 type pendingRemoval struct {
-	// revision is the revision of the removal.
-	revision int64
+	// position is that of the removal.
+	position agateposition.Position
 	// deadline is when the server is marked as gone.
 	deadline time.Duration
 }
@@ -41,6 +45,10 @@
 	catalog *agatecatalog.Catalog
 	// pending holds the removed registrations that are in their grace period.
 	pending map[agateinstance.Key]pendingRemoval
+	// eraSince is when the catalog was first one of its era, and carried holds the
+	// incarnations whose state is known from an earlier era.
+	eraSince time.Duration
+	carried  map[agateinstance.Key]bool
 	// goneSince is when each incarnation was first seen as gone.
 	goneSince map[agateinstance.Key]time.Duration
 	// lastCatalog is the catalog from which goneSince was last updated.
@@ -57,6 +65,7 @@
 		lastCatalog: &agatecatalog.Catalog{},
 		pending:     make(map[agateinstance.Key]pendingRemoval),
 		goneSince:   make(map[agateinstance.Key]time.Duration),
+		carried:     make(map[agateinstance.Key]bool),
 		lastFailure: -policy.OutageGrace,
 	}
 }
@@ -68,10 +77,19 @@
 func (m *Merger) RecordFailure(now time.Duration) { m.lastFailure = now }
 
 // Apply applies a delivery of a source and reports whether the catalog has
-// changed.
+// changed. Of a delivery from an earlier era than the catalog's, and of one from a later
+// era that is not complete, only the configuration is applied.
 func (m *Merger) Apply(c agatechange.Changes, now time.Duration) bool {
 	before := m.catalog
 	m.catalog, _ = m.catalog.WithConfig(c.Config)
+	switch {
+	case c.Era < before.Position().Era || c.Era > before.Position().Era && !c.Complete:
+		return m.catalog != before
+	case c.Era > before.Position().Era:
+		c = m.enterEra(c, now)
+	case c.Complete && now-m.eraSince >= m.policy.LeaseTime:
+		c = m.withConfirmedStates(c)
+	}
 	removed := c.Removals
 	records := c.Instances
 	if c.Complete {
@@ -81,21 +99,92 @@
 	}
 	m.catalog, _ = m.catalog.WithInstances(records)
 	m.cancelRemovals(records)
-	m.scheduleRemovals(removed, now)
-	if c.Complete && before.Revision() == 0 {
-		m.catalog = m.catalog.WithFloor(c.Revision)
+	m.scheduleRemovals(removed, c.Era, now)
+	if c.Complete && (before.Revision() == 0 || before.Position().Era != c.Era) {
+		m.catalog = m.catalog.WithFloor(c.Position())
 	}
-	m.catalog = m.catalog.WithRevision(c.Revision)
+	m.catalog = m.catalog.WithPosition(c.Position())
 	return m.catalog != before
 }
 
+// ApplyConfig applies a configuration and reports whether it has replaced the current one.
+func (m *Merger) ApplyConfig(config *agatecatalog.Config) bool {
+	replaced := false
+	m.catalog, replaced = m.catalog.WithConfig(config)
+	return replaced
+}
+
+// EnterEra applies the records by which the listing of a restored source, of the given
+// position, differs from what the catalog has up to its own position.
+func (m *Merger) EnterEra(differing []agateinstance.Instance, position agateposition.Position, now time.Duration) {
+	c := m.enterEra(agatechange.Changes{Era: position.Era, Revision: position.Revision, Instances: differing}, now)
+	m.catalog, _ = m.catalog.WithInstances(c.Instances)
+	m.cancelRemovals(c.Instances)
+	m.catalog = m.catalog.WithFloor(position).WithPosition(position)
+	m.Tick(now)
+}
+
+// enterEra returns the listing of a restored source with the states that are known from
+// before. Removals that were pending are dropped: a server that is listed has its lease
+// again, and one that is not has as long to register as after an outage.
+func (m *Merger) enterEra(c agatechange.Changes, now time.Duration) agatechange.Changes {
+	m.eraSince = now
+	if m.catalog.Revision() == 0 {
+		return c
+	}
+	m.RecordFailure(now)
+	clear(m.pending)
+	records := make([]agateinstance.Instance, len(c.Instances))
+	for i, record := range c.Instances {
+		records[i] = record
+		known, held := m.catalog.Instance(record.Key)
+		if !held {
+			continue
+		}
+		// An entry that lists the copy's records may hold them as of an earlier era.
+		listed := record
+		if record.Revision <= c.Revision {
+			listed.Era = c.Era
+		}
+		if carried := listed.Carry(known); carried.State != record.State {
+			records[i] = carried
+		}
+	}
+	c.Instances = records
+	return c
+}
+
+// withConfirmedStates returns a listing in which the states of those records are
+// confirmed that the catalog holds with a state from an earlier era.
+func (m *Merger) withConfirmedStates(c agatechange.Changes) agatechange.Changes {
+	if len(m.carried) == 0 {
+		return c
+	}
+	records := make([]agateinstance.Instance, len(c.Instances))
+	for i, record := range c.Instances {
+		if m.carried[record.Key] {
+			record = record.WithConfirmedState()
+		}
+		records[i] = record
+	}
+	clear(m.carried)
+	c.Instances = records
+	return c
+}
+
+// ListingDue reports whether a listing would confirm states that are known from an earlier
+// era only: the leases of servers that had ended when the source was restored have run out.
+func (m *Merger) ListingDue(now time.Duration) bool {
+	return len(m.carried) > 0 && now-m.eraSince >= m.policy.LeaseTime
+}
+
 // withoutRemoved returns the records without those that have already been
 // removed: a record that is no newer than the catalog and yet not in it.
 func (m *Merger) withoutRemoved(records []agateinstance.Instance) []agateinstance.Instance {
 	kept := make([]agateinstance.Instance, 0, len(records))
 	for _, record := range records {
 		_, held := m.catalog.Instance(record.Key)
-		if held || record.Revision > m.catalog.Revision() {
+		if held || record.Position().After(m.catalog.Position()) {
 			kept = append(kept, record)
 		}
 	}
@@ -108,7 +197,7 @@
 func (m *Merger) cancelRemovals(records []agateinstance.Instance) {
 	for _, record := range records {
 		pending, ok := m.pending[record.Key]
-		if ok && (record.Revision > pending.revision || record.State == agateinstance.Gone) {
+		if ok && (record.Position().After(pending.position) || record.State == agateinstance.Gone) {
 			delete(m.pending, record.Key)
 		}
 		if record.State != agateinstance.Gone {
@@ -125,7 +214,10 @@
 	}
 	var removed []agatechange.Removal
 	for instance := range m.catalog.All() {
-		if !listed[instance.ID] && instance.State != agateinstance.Gone && instance.Revision <= c.Revision {
+		if listed[instance.ID] || instance.Position().After(c.Position()) {
+			continue
+		}
+		if instance.State != agateinstance.Gone || instance.Carried() {
 			removed = append(removed, agatechange.Removal{ID: instance.ID, Revision: c.Revision})
 		}
 	}
@@ -133,16 +225,17 @@
 }
 
 // scheduleRemovals starts the grace period of each removed registration. Of two
-// removals the later revision counts, so that a late record from between them
+// removals the later one counts, so that a late record from between them
 // does not bring the server back.
-func (m *Merger) scheduleRemovals(removed []agatechange.Removal, now time.Duration) {
+func (m *Merger) scheduleRemovals(removed []agatechange.Removal, era uint32, now time.Duration) {
 	for _, removal := range removed {
+		position := agateposition.Position{Era: era, Revision: removal.Revision}
 		instance, held := m.catalog.Newest(removal.ID)
-		if !held || instance.Revision > removal.Revision {
+		if !held || instance.Position().After(position) {
 			continue
 		}
 		if instance.State == agateinstance.Gone {
-			updated := instance.WithState(agateinstance.Gone, removal.Revision)
+			updated := instance.WithState(agateinstance.Gone, position)
 			m.catalog, _ = m.catalog.WithInstances([]agateinstance.Instance{updated})
 			continue
 		}
@@ -150,7 +243,7 @@
 		if !known {
 			scheduled.deadline = m.removalDeadline(instance, now)
 		}
-		scheduled.revision = max(scheduled.revision, removal.Revision)
+		scheduled.position = scheduled.position.Max(position)
 		m.pending[instance.Key] = scheduled
 	}
 	m.Tick(now)
@@ -171,7 +264,7 @@
 func (m *Merger) Tick(now time.Duration) bool {
 	before := m.catalog
 	m.expire(now)
-	m.recordGone(now)
+	m.recordChanges(now)
 	m.forget(now)
 	return m.catalog != before
 }
@@ -185,16 +278,17 @@
 		}
 		delete(m.pending, key)
 		instance, ok := m.catalog.Instance(key)
-		if ok && instance.State != agateinstance.Gone && instance.Revision <= pending.revision {
-			// A record replaces another only with a higher revision.
-			expired = append(expired, instance.WithState(agateinstance.Gone, max(pending.revision, instance.Revision+1)))
+		if ok && instance.State != agateinstance.Gone && !instance.Position().After(pending.position) {
+			// A record replaces another only with a later position.
+			expired = append(expired, instance.WithState(agateinstance.Gone, pending.position.Max(instance.Position().Next())))
 		}
 	}
 	m.catalog, _ = m.catalog.WithInstances(expired)
 }
 
-// recordGone records the time for incarnations that are newly gone.
-func (m *Merger) recordGone(now time.Duration) {
+// recordChanges records the time for incarnations that are newly gone, and which ones
+// have a state from an earlier era.
+func (m *Merger) recordChanges(now time.Duration) {
 	if m.catalog == m.lastCatalog {
 		return
 	}
@@ -202,6 +296,11 @@
 	m.lastCatalog = m.catalog
 	for _, key := range changed {
 		instance, held := m.catalog.Instance(key)
+		if held && instance.Carried() {
+			m.carried[key] = true
+		} else {
+			delete(m.carried, key)
+		}
 		if !held || instance.State != agateinstance.Gone {
 			continue
 		}
--- a/core/process/agatemerge/merge_test.go
+++ b/core/process/agatemerge/merge_test.go
@@ -13,7 +13,7 @@
 	"agatereach/core/version/agateinstance"
 )
 
-var policy = agatemerge.Policy{RemovalGrace: time.Second, OutageGrace: 2 * time.Second, GoneRetention: 10 * time.Second}
+var policy = agatemerge.Policy{RemovalGrace: time.Second, OutageGrace: 2 * time.Second, LeaseTime: 4 * time.Second, GoneRetention: 10 * time.Second}
 
 func newRecord(id uint64, revision int64, state agateinstance.State) agateinstance.Instance {
 	return agateinstance.Instance{
@@ -124,7 +124,7 @@
 	if got := state(m, 2); got != "" {
 		t.Errorf("state %q, want no record", got)
 	}
-	if floor := m.Catalog().Floor(); floor != 8 {
+	if floor := m.Catalog().Floor().Revision; floor != 8 {
 		t.Errorf("floor %d, want 8", floor)
 	}
 }
@@ -155,8 +155,8 @@
 }
 
 // TestMonotone applies random deliveries, with losses and repetitions, and checks
-// that version, revision and floor never decrease and that a record is never
-// replaced by an older one.
+// that version, position and floor never decrease and that a record is never
+// replaced by an older one, whatever eras the deliveries are from.
 func TestMonotone(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := agatemerge.New(policy)
@@ -166,12 +166,12 @@
 			now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond
 			applyRandomDelivery(t, m, now)
 			after := m.Catalog()
-			if after.Version() < before.Version() || after.Revision() < before.Revision() || after.Floor() < before.Floor() {
-				t.Fatal("version, revision or floor decreased")
+			if before.Stamp().After(after.Stamp()) || before.Position().After(after.Position()) || before.Floor().After(after.Floor()) {
+				t.Fatal("version, position or floor decreased")
 			}
 			for _, held := range before.Instances() {
-				if got, ok := after.Instance(held.Key); ok && got.Revision < held.Revision {
-					t.Fatalf("record of server %d went back from revision %d to %d", held.ID, held.Revision, got.Revision)
+				if got, ok := after.Instance(held.Key); ok && held.Position().After(got.Position()) {
+					t.Fatalf("record of server %d went back from %s to %s", held.ID, held.Position(), got.Position())
 				}
 			}
 		}
@@ -182,6 +182,7 @@
 func applyRandomDelivery(t *rapid.T, m *agatemerge.Merger, now time.Duration) {
 	revision := rapid.Int64Range(1, 50).Draw(t, "revision")
 	id := rapid.Uint64Range(1, 4).Draw(t, "id")
+	era := rapid.Uint32Range(1, 3).Draw(t, "era")
 	states := []agateinstance.State{agateinstance.Ready, agateinstance.Draining, agateinstance.Gone}
 	switch rapid.IntRange(0, 4).Draw(t, "kind") {
 	case 0:
@@ -189,11 +190,16 @@
 	case 1:
 		m.RecordFailure(now)
 	case 2:
-		m.Apply(removal(id, revision), now)
+		c := removal(id, revision)
+		c.Era = era
+		m.Apply(c, now)
 	case 3:
-		m.Apply(agatechange.Changes{Config: &agatecatalog.Config{Version: revision}}, now)
+		m.ApplyConfig(&agatecatalog.Config{Version: revision, Era: era})
 	case 4:
-		c := changes(revision, newRecord(id, revision, rapid.SampledFrom(states).Draw(t, "state")))
+		record := newRecord(id, revision, rapid.SampledFrom(states).Draw(t, "state"))
+		record.Era = era
+		c := changes(revision, record)
+		c.Era = era
 		c.Complete = rapid.Bool().Draw(t, "whole")
 		m.Apply(c, now)
 	}
--- a/core/process/agatenotice/notice.go
+++ b/core/process/agatenotice/notice.go
@@ -10,6 +10,8 @@
 	"agatereach/core/request/agatecodec"
 	"agatereach/core/request/agateload"
 	"agatereach/core/version/agateinstance"
+	"agatereach/core/version/agateposition"
+	"agatereach/core/version/agatestamp"
 )
 
 // Limits on the content of a notice, so that it fits into one datagram and a forged
@@ -58,10 +60,14 @@
 	// Boot is a random number that identifies the run of the sender's process; not
 	// 0.
 	Boot uint64 `cbor:"3,keyasint"`
-	// Version, Revision and Digest identify the sender's catalog.
-	Version  int64  `cbor:"4,keyasint"`
-	Revision int64  `cbor:"5,keyasint"`
-	Digest   uint64 `cbor:"6,keyasint"`
+	// Era, Revision and Digest identify the sender's catalog, and Version, ConfigEra
+	// and ConfigRevision its configuration.
+	Version        int64  `cbor:"4,keyasint"`
+	Revision       int64  `cbor:"5,keyasint"`
+	Digest         uint64 `cbor:"6,keyasint"`
+	Era            uint32 `cbor:"15,keyasint,omitempty"`
+	ConfigEra      uint32 `cbor:"16,keyasint,omitempty"`
+	ConfigRevision int64  `cbor:"17,keyasint,omitempty"`
 	// ConfirmedAge is how long ago the catalog was known to be the newest, in ms; 0
 	// if it never was.
 	ConfirmedAge uint32 `cbor:"7,keyasint,omitempty"`
@@ -82,18 +88,47 @@
 	WantReply bool `cbor:"11,keyasint,omitempty"`
 }
 
-// Query asks for the registrations after a revision and for a configuration newer
-// than a version.
+// Position returns the position of the sender's catalog.
+func (b *Heartbeat) Position() agateposition.Position {
+	return agateposition.Position{Era: b.Era, Revision: b.Revision}
+}
+
+// Stamp returns the stamp of the sender's configuration.
+func (b *Heartbeat) Stamp() agatestamp.Stamp {
+	return agatestamp.New(b.Version, b.ConfigEra, b.ConfigRevision)
+}
+
+// Query asks for the registrations after a position and for a configuration that
+// replaces the sender's.
 type Query struct {
-	After   int64 `cbor:"1,keyasint"`
-	Version int64 `cbor:"2,keyasint"`
+	// Era and After are the position of the sender's catalog.
+	After int64  `cbor:"1,keyasint"`
+	Era   uint32 `cbor:"3,keyasint,omitempty"`
+	// Version, ConfigEra and ConfigRevision identify the sender's configuration.
+	Version        int64  `cbor:"2,keyasint"`
+	ConfigEra      uint32 `cbor:"4,keyasint,omitempty"`
+	ConfigRevision int64  `cbor:"5,keyasint,omitempty"`
+}
+
+// Position returns the position of the sender's catalog.
+func (q *Query) Position() agateposition.Position {
+	return agateposition.Position{Era: q.Era, Revision: q.After}
+}
+
+// Stamp returns the stamp of the sender's configuration.
+func (q *Query) Stamp() agatestamp.Stamp {
+	return agatestamp.New(q.Version, q.ConfigEra, q.ConfigRevision)
 }
 
-// Page is one of the datagrams that carry the registrations after a revision.
+// Page is one of the datagrams that carry the registrations after a position.
 type Page struct {
-	// From and To are the revisions that all pages together lead from and to.
-	From int64 `cbor:"1,keyasint"`
-	To   int64 `cbor:"2,keyasint"`
+	// FromEra and From, and ToEra and To, are the positions that all pages together
+	// lead from and to. If the eras differ, the pages hold what changed when the store
+	// was restored, and apply to no other position.
+	From    int64  `cbor:"1,keyasint"`
+	To      int64  `cbor:"2,keyasint"`
+	FromEra uint32 `cbor:"7,keyasint,omitempty"`
+	ToEra   uint32 `cbor:"8,keyasint,omitempty"`
 	// Index is the position of this page, and Total the number of pages.
 	Index int `cbor:"3,keyasint"`
 	Total int `cbor:"4,keyasint"`
@@ -104,12 +139,27 @@
 	Instances []agateinstance.Instance `cbor:"5,keyasint,omitempty"`
 }
 
+// FromPosition returns the position that all pages together lead from.
+func (p *Page) FromPosition() agateposition.Position {
+	return agateposition.Position{Era: p.FromEra, Revision: p.From}
+}
+
+// ToPosition returns the position that all pages together lead to.
+func (p *Page) ToPosition() agateposition.Position {
+	return agateposition.Position{Era: p.ToEra, Revision: p.To}
+}
+
 // Part is one of the datagrams that carry a configuration change.
 type Part struct {
-	// From and Version are the versions that the change leads from and to. From is
-	// 0 for a whole configuration.
-	From    int64 `cbor:"6,keyasint,omitempty"`
-	Version int64 `cbor:"1,keyasint"`
+	// From, FromEra and FromRevision identify the configuration that the change leads
+	// from, and Version, Era and Revision the one that it leads to. From is 0 for a
+	// whole configuration.
+	From         int64  `cbor:"6,keyasint,omitempty"`
+	FromEra      uint32 `cbor:"7,keyasint,omitempty"`
+	FromRevision int64  `cbor:"8,keyasint,omitempty"`
+	Version      int64  `cbor:"1,keyasint"`
+	Era          uint32 `cbor:"9,keyasint,omitempty"`
+	Revision     int64  `cbor:"10,keyasint,omitempty"`
 	// Index is the position of this part, and Total the number of parts.
 	Index int `cbor:"2,keyasint"`
 	Total int `cbor:"3,keyasint"`
@@ -120,6 +170,12 @@
 	Data []byte `cbor:"5,keyasint"`
 }
 
+// Base returns the stamp of the configuration that the change leads from.
+func (p *Part) Base() agatestamp.Stamp { return agatestamp.New(p.From, p.FromEra, p.FromRevision) }
+
+// Stamp returns the stamp of the configuration that the change leads to.
+func (p *Part) Stamp() agatestamp.Stamp { return agatestamp.New(p.Version, p.Era, p.Revision) }
+
 // Encode returns the notice as a datagram.
 func (n Notice) Encode() ([]byte, error) { return agatecodec.Codec{}.Encode("notice", n) }
 
@@ -172,7 +228,7 @@
 		return &FieldError{Field: "centre"}
 	case b.Boot == 0:
 		return &FieldError{Field: "boot"}
-	case b.Version < 0 || b.Revision < 0:
+	case b.Revision < 0 || !b.Stamp().Valid():
 		return &FieldError{Field: "revision"}
 	case len(b.Peers) > maxPeers || len(b.RemotePeers) > maxPeers:
 		return &FieldError{Field: "peers"}
@@ -188,14 +244,14 @@
 }
 
 func (q *Query) check() error {
-	if q.After < 0 || q.Version < 0 {
+	if q.After < 0 || !q.Stamp().Valid() {
 		return &FieldError{Field: "after"}
 	}
 	return nil
 }
 
 func (p *Page) check() error {
-	if p.From < 0 || p.To < p.From || !validIndex(p.Index, p.Total) || len(p.Instances) > maxInstances {
+	if p.From < 0 || p.To < 0 || p.FromPosition().After(p.ToPosition()) || !validIndex(p.Index, p.Total) || len(p.Instances) > maxInstances {
 		return &FieldError{Field: "page"}
 	}
 	for _, instance := range p.Instances {
@@ -207,7 +263,7 @@
 }
 
 func (p *Part) check() error {
-	if p.From < 0 || p.Version <= p.From || !validIndex(p.Index, p.Total) || p.Total > maxParts || len(p.Data) == 0 || len(p.Data) > maxPartSize {
+	if !p.Base().Valid() || !p.Stamp().Valid() || !p.Stamp().After(p.Base()) || !validIndex(p.Index, p.Total) || p.Total > maxParts || len(p.Data) == 0 || len(p.Data) > maxPartSize {
 		return &FieldError{Field: "part"}
 	}
 	return nil
--- a/core/process/agatesetup/setup.go
+++ b/core/process/agatesetup/setup.go
@@ -61,6 +61,9 @@
 	Grace int `toml:"grace"`
 	// Lifetime is the maximum duration of a flow, in s.
 	Lifetime int `toml:"lifetime"`
+	// Beat is the time between two writes of a server to the store, in ms; 0 if it is
+	// not known.
+	Beat int `toml:"beat,omitempty"`
 }
 
 // ReadError reports a settings file that cannot be read.
@@ -152,6 +155,7 @@
 	}
 	check(!(s.Link >= 0) || s.Link > maxLinkMbps, "link", "must be a number of Mbit/s, or left out")
 	check(s.MemoryMB < 1 || s.MemoryMB > maxMemoryMB, "memory", "must be a number of MB")
+	check(s.Bounds.Beat < 0 || s.Bounds.BeatTime() > maxDuration, "bounds.beat", "must be a time of at most an hour, or left out")
 	for key, value := range map[string]time.Duration{
 		"bounds.config":   s.Bounds.ConfigTime(),
 		"bounds.drain":    s.Bounds.DrainTime(),
@@ -183,5 +187,9 @@
 // GraceTime returns the time between the stop signal and the kill.
 func (b Bounds) GraceTime() time.Duration { return time.Duration(b.Grace) * time.Second }
 
+// BeatTime returns the time between two writes of a server to the store, 0 if it is not
+// known.
+func (b Bounds) BeatTime() time.Duration { return time.Duration(b.Beat) * time.Millisecond }
+
 // LifetimeTime returns the maximum duration of a flow.
 func (b Bounds) LifetimeTime() time.Duration { return time.Duration(b.Lifetime) * time.Second }
--- a/core/process/agatesteer/steer.go
+++ b/core/process/agatesteer/steer.go
@@ -105,7 +105,7 @@
 		known = &server{}
 		s.servers[instance.Key] = known
 	}
-	if instance.Revision != known.instance.Revision {
+	if instance.Position() != known.instance.Position() {
 		known.coldUntil = now + instance.WarmUp
 	}
 	s.removeReady(known)
@@ -147,7 +147,7 @@
 // addEvidence fills in the server and the evidence of a verdict.
 func (s *Steerer) addEvidence(v *Verdict, now time.Duration) {
 	e := &v.Evidence
-	e.Version, e.Revision = s.catalog.Version(), s.catalog.Revision()
+	e.Version, e.Position = s.catalog.Version(), s.catalog.Position()
 	e.Age = now - s.confirmedAt
 	if v.server == nil {
 		return
--- a/core/process/agatesteer/verdict.go
+++ b/core/process/agatesteer/verdict.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"agatereach/core/request/agatetuple"
+	"agatereach/core/version/agateposition"
 )
 
 // Action is what to do with a segment.
@@ -96,8 +97,9 @@
 	// SinceAnswer is the time since it last answered; 0 if it never did.
 	UnansweredFlows int
 	SinceAnswer     time.Duration
-	// Version and Revision are those of the catalog, and Age is the time since
+	// Version and Position are those of the catalog, and Age is the time since
 	// it was last known to be the newest.
-	Version, Revision int64
-	Age               time.Duration
+	Version  int64
+	Position agateposition.Position
+	Age      time.Duration
 }
--- a/core/process/agatesync/beat.go
+++ b/core/process/agatesync/beat.go
@@ -118,9 +118,11 @@
 // fullHeartbeat returns a heartbeat with all loads of this entry.
 func (s *Sync) fullHeartbeat() agatenotice.Notice {
 	catalog := s.Catalog()
+	stamp := catalog.Stamp()
 	b := &agatenotice.Heartbeat{
 		Name: s.self.Name, Centre: s.self.Centre, Boot: s.self.Boot,
-		Version: catalog.Version(), Revision: catalog.Revision(), Digest: catalog.Digest(),
+		Version: stamp.Version, ConfigEra: stamp.Written.Era, ConfigRevision: stamp.Written.Revision,
+		Era: catalog.Position().Era, Revision: catalog.Revision(), Digest: catalog.Digest(),
 		ConfirmedAge: s.confirmedAge(), Failing: s.storeFailing, Leaving: s.leaving, Loads: s.loads,
 	}
 	s.heartbeatSize = heartbeatBaseSize + loadSize*len(s.loads)
--- a/core/process/agatesync/config.go
+++ b/core/process/agatesync/config.go
@@ -8,8 +8,8 @@
 
 	"agatereach/core/process/agatenotice"
 	"agatereach/core/version/agatecatalog"
-	"agatereach/core/version/agatechange"
 	"agatereach/core/version/agatediff"
+	"agatereach/core/version/agatestamp"
 )
 
 const (
@@ -23,9 +23,9 @@
 
 // changeKey identifies a configuration change, whichever entry sends it.
 type changeKey struct {
-	from, version int64
-	total         int
-	checksum      uint32
+	from, to agatestamp.Stamp
+	total    int
+	checksum uint32
 }
 
 // pendingChange is a configuration change of which some parts are still missing.
@@ -57,30 +57,30 @@
 	s.encodedParts = nil
 }
 
-// configAt returns the configuration with the given version, or nil if it is not
+// configAt returns the configuration with the given stamp, or nil if it is not
 // kept.
-func (s *Sync) configAt(version int64) *agatecatalog.Config {
+func (s *Sync) configAt(stamp agatestamp.Stamp) *agatecatalog.Config {
 	for _, config := range s.recentConfigs {
-		if config.Version == version {
+		if config.Stamp() == stamp {
 			return config
 		}
 	}
 	return nil
 }
 
-// partsSince returns the parts of the change from the given version to the newest
-// one, or of the whole configuration if that version is not kept.
-func (s *Sync) partsSince(version int64) []agatenotice.Notice {
+// partsSince returns the parts of the change from the configuration with the given
+// stamp to the newest one, or of the whole configuration if that one is not kept.
+func (s *Sync) partsSince(stamp agatestamp.Stamp) []agatenotice.Notice {
 	s.rememberConfig()
 	newest := s.Catalog().Config()
-	if newest == nil || version >= newest.Version {
+	if newest == nil || !newest.Stamp().After(stamp) {
 		return nil
 	}
-	base := s.configAt(version)
+	base := s.configAt(stamp)
 	if base == nil {
-		version = 0
+		stamp = agatestamp.Stamp{}
 	}
-	if parts, ok := s.encodedParts[version]; ok {
+	if parts, ok := s.encodedParts[stamp]; ok {
 		return parts
 	}
 	encoded, err := agatediff.New(base, newest).Encode()
@@ -89,21 +89,23 @@
 		s.encodeFailures++
 		return nil
 	}
-	parts := s.partsOf(encoded, version, newest.Version)
+	parts := s.partsOf(encoded, stamp, newest.Stamp())
 	if s.encodedParts == nil {
-		s.encodedParts = make(map[int64][]agatenotice.Notice)
+		s.encodedParts = make(map[agatestamp.Stamp][]agatenotice.Notice)
 	}
-	s.encodedParts[version] = parts
+	s.encodedParts[stamp] = parts
 	return parts
 }
 
 // partsOf divides an encoded change into parts of up to PageSize bytes.
-func (s *Sync) partsOf(encoded []byte, from, version int64) []agatenotice.Notice {
+func (s *Sync) partsOf(encoded []byte, from, to agatestamp.Stamp) []agatenotice.Notice {
 	chunks := slices.Collect(slices.Chunk(encoded, s.policy.PageSize))
 	notices := make([]agatenotice.Notice, len(chunks))
 	for i, chunk := range chunks {
 		notices[i].Part = &agatenotice.Part{
-			From: from, Version: version, Index: i, Total: len(chunks), Checksum: crc32.ChecksumIEEE(encoded), Data: chunk,
+			From: from.Version, FromEra: from.Written.Era, FromRevision: from.Written.Revision,
+			Version: to.Version, Era: to.Written.Era, Revision: to.Written.Revision,
+			Index: i, Total: len(chunks), Checksum: crc32.ChecksumIEEE(encoded), Data: chunk,
 		}
 	}
 	return notices
@@ -138,27 +140,27 @@
 }
 
 // receivePart stores a part and applies the change once all its parts have arrived.
-func (s *Sync) receivePart(p *agatenotice.Part, now time.Duration) {
-	if p.Version <= s.Catalog().Version() || p.From > 0 && s.configAt(p.From) == nil {
+func (s *Sync) receivePart(p *agatenotice.Part) {
+	if !p.Stamp().After(s.Catalog().Stamp()) || p.From > 0 && s.configAt(p.Base()) == nil {
 		return
 	}
-	c := s.pendingChange(changeKey{from: p.From, version: p.Version, total: p.Total, checksum: p.Checksum})
+	c := s.pendingChange(changeKey{from: p.Base(), to: p.Stamp(), total: p.Total, checksum: p.Checksum})
 	c.parts[p.Index] = p.Data
 	if len(c.parts) < c.key.total {
 		return
 	}
-	s.pendingChanges = slices.DeleteFunc(s.pendingChanges, func(other *pendingChange) bool { return other.key.version <= c.key.version })
+	s.pendingChanges = slices.DeleteFunc(s.pendingChanges, func(other *pendingChange) bool { return !other.key.to.After(c.key.to) })
 	diff, err := agatediff.Decode(c.bytes())
-	if err != nil || diff.From != c.key.from || diff.Version != c.key.version {
+	if err != nil || diff.Base() != c.key.from || diff.Stamp() != c.key.to {
 		s.malformedChanges++
 		return
 	}
-	config, err := diff.Apply(s.configAt(diff.From))
+	config, err := diff.Apply(s.configAt(diff.Base()))
 	if err != nil {
 		s.malformedChanges++
 		return
 	}
-	s.merger.Apply(agatechange.Changes{Config: config}, now)
+	s.merger.ApplyConfig(config)
 	s.rememberConfig()
 }
 
--- a/core/process/agatesync/dump.go
+++ b/core/process/agatesync/dump.go
@@ -11,7 +11,7 @@
 	catalog := s.Catalog()
 	d := agatedump.Dump{
 		VM: s.self.Name, Centre: s.self.Centre, Boot: s.self.Boot,
-		Version: catalog.Version(), Revision: catalog.Revision(),
+		Version: catalog.Version(), Era: catalog.Position().Era, Revision: catalog.Revision(),
 		Age: agatedump.Since(s.confirmedAt, now), ReadsStore: s.ReadDuty(now) != None, StoreFailing: s.storeFailing,
 		Peers: make([]agatedump.Peer, 0, len(s.peers)),
 	}
--- a/core/process/agatesync/fleet_test.go
+++ b/core/process/agatesync/fleet_test.go
@@ -23,7 +23,10 @@
 const bound = 3 * time.Second
 
 // mergePolicy is the policy of the entries' mergers.
-var mergePolicy = agatemerge.Policy{RemovalGrace: bound / 3, OutageGrace: 2 * time.Second, GoneRetention: time.Minute}
+var mergePolicy = agatemerge.Policy{RemovalGrace: bound / 3, OutageGrace: 2 * time.Second, LeaseTime: lease, GoneRetention: time.Minute}
+
+// lease is how long a server's registration lasts after its end.
+const lease = 4 * time.Second
 
 // store is an in-memory store that never compacts its history and can be restored from
 // a copy.
@@ -31,8 +34,6 @@
 	era      uint32
 	revision int64
 	config   *agatecatalog.Config
-	// configRevision is the revision of the configuration.
-	configRevision int64
 	// registrations and removals are by server id; removals holds revisions.
 	registrations map[uint64]agateinstance.Instance
 	removals      map[uint64]int64
@@ -51,7 +52,7 @@
 	s.revision++
 	delete(s.removals, id)
 	s.registrations[id] = agateinstance.Instance{
-		Key: agateinstance.Key{ID: id, StartTime: 1}, Revision: s.revision, Service: "map", Centre: "a", Slots: 3, State: state,
+		Key: agateinstance.Key{ID: id, StartTime: 1}, Era: s.era, Revision: s.revision, Service: "map", Centre: "a", Slots: 3, State: state,
 		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(id >> 8), byte(id)}), 80),
 	}
 }
@@ -66,8 +67,7 @@
 // configure writes a configuration with the given number of virtual addresses.
 func (s *store) configure(version int64, vips int) {
 	s.revision++
-	s.configRevision = s.revision
-	s.config = &agatecatalog.Config{Version: version}
+	s.config = &agatecatalog.Config{Version: version, Era: s.era, Revision: s.revision}
 	for i := range vips {
 		s.config.VIPs = append(s.config.VIPs, agatevip.VIP{
 			Name: fmt.Sprint("vip-", i), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), 443),
@@ -86,22 +86,22 @@
 // restore replaces the content by that of a copy.
 func (s *store) restore(c store) {
 	s.era++
-	s.revision, s.config, s.configRevision = c.revision, c.config, c.configRevision
+	s.revision, s.config = c.revision, c.config
 	s.registrations, s.removals = maps.Clone(c.registrations), maps.Clone(c.removals)
 }
 
-// read returns the changes after a revision, or a full listing for revision 0 and for
-// one that has not been given out in this era.
+// read returns the changes after a revision, or a full listing for revision 0. The store
+// names its present era for all that it holds.
 func (s *store) read(after int64) agatechange.Changes {
 	s.calls++
-	if after > s.revision {
-		after = 0
-	}
 	c := agatechange.Changes{Era: s.era, Revision: s.revision, Complete: after == 0}
-	if s.configRevision > after {
-		c.Config = s.config
+	if s.config != nil && s.config.Revision > after {
+		config := *s.config
+		config.Era = s.era
+		c.Config = &config
 	}
 	for _, instance := range s.registrations {
+		instance.Era = s.era
 		if instance.Revision > after {
 			c.Instances = append(c.Instances, instance)
 		}
@@ -222,10 +222,19 @@
 		f.send(e, e.sync.HandleReadFailure(f.now))
 		return
 	}
-	if e.sync.Catalog().Revision() == 0 {
+	after := e.sync.Catalog().Revision()
+	if after == 0 {
 		f.listings++
 	}
-	f.send(e, e.sync.HandleRead(f.store.read(e.sync.Catalog().Revision()), f.now, f.now))
+	if e.sync.ListingDue(f.now) {
+		after = 0
+	}
+	if after > f.store.revision {
+		f.store.calls++
+		e.sync.HandleCompaction()
+		return
+	}
+	f.send(e, e.sync.HandleRead(f.store.read(after), f.now, f.now))
 }
 
 // send encodes notices and puts them on their way.
--- a/core/process/agatesync/lag.go
+++ b/core/process/agatesync/lag.go
@@ -6,30 +6,32 @@
 
 	"agatereach/core/process/agatenotice"
 	"agatereach/core/version/agatecatalog"
+	"agatereach/core/version/agateposition"
+	"agatereach/core/version/agatestamp"
 )
 
 // lag tracks by how much other entries are ahead of this one's catalog.
 type lag struct {
-	// version and revision are the newest ones that a peer has reported.
-	version, revision int64
+	// place holds the newest stamp and position that a peer has reported.
+	place
 	// aheadSince is the time of the first report that was ahead, lastReport that of
 	// the latest one, and source the peer that sent the latest.
 	aheadSince, lastReport time.Duration
 	source                 netip.AddrPort
 }
 
-// ahead reports whether the recorded version or revision is newer than the
-// catalog's.
-func (l *lag) ahead(own *agatecatalog.Catalog) bool {
-	return l.version > own.Version() || l.revision > own.Revision()
-}
+// ahead reports whether the recorded stamp or position is newer than the catalog's.
+func (l *lag) ahead(own *agatecatalog.Catalog) bool { return l.newerThan(placeOf(own)) }
 
 // record stores the heartbeat of a peer that is ahead.
 func (l *lag) record(from netip.AddrPort, b *agatenotice.Heartbeat, own *agatecatalog.Catalog, now time.Duration) {
 	if !l.ahead(own) {
 		*l = lag{aheadSince: now}
 	}
-	l.version, l.revision = max(l.version, b.Version), max(l.revision, b.Revision)
+	if b.Stamp().After(l.stamp) {
+		l.stamp = b.Stamp()
+	}
+	l.position = l.position.Max(b.Position())
 	l.source, l.lastReport = from, now
 }
 
@@ -56,7 +58,7 @@
 	}{{&s.localLag, s.policy.CatchUpDelay}, {&s.remoteLag, s.policy.MismatchDelay}} {
 		if l.lag.due(own, l.delay, s.policy.PeerExpiry, now) {
 			s.lastQuery = now
-			return []OutgoingNotice{{To: l.lag.source, Notice: newQuery(own.Revision(), own.Version())}}
+			return []OutgoingNotice{{To: l.lag.source, Notice: newQuery(placeOf(own))}}
 		}
 	}
 	return nil
@@ -67,13 +69,23 @@
 // steps. In a small one every round of heartbeats reaches all peers.
 func (s *Sync) announce(now time.Duration) []OutgoingNotice {
 	own := s.Catalog()
-	newer := own.Version() > s.announced.version || own.Revision() > s.announced.revision
-	if !newer || now-s.lastAnnouncement < s.policy.HeartbeatInterval/2 || s.localCount <= s.policy.PeersPerRound {
+	if !placeOf(own).newerThan(s.announced) || now-s.lastAnnouncement < s.policy.HeartbeatInterval/2 || s.localCount <= s.policy.PeersPerRound {
 		return nil
 	}
-	s.announced, s.lastAnnouncement = position{own.Version(), own.Revision()}, now
+	s.announced, s.lastAnnouncement = placeOf(own), now
 	return fanOut(s.sample(s.localPeers(), s.policy.AnnounceFanout), s.partialHeartbeat(nil))
 }
 
-// position holds the version and the revision of a catalog.
-type position struct{ version, revision int64 }
+// place holds the stamp and the position of a catalog.
+type place struct {
+	stamp    agatestamp.Stamp
+	position agateposition.Position
+}
+
+// placeOf returns the place of a catalog.
+func placeOf(c *agatecatalog.Catalog) place { return place{stamp: c.Stamp(), position: c.Position()} }
+
+// newerThan reports whether the stamp or the position is newer.
+func (p place) newerThan(o place) bool {
+	return p.stamp.After(o.stamp) || p.position.After(o.position)
+}
--- a/core/process/agatesync/page.go
+++ b/core/process/agatesync/page.go
@@ -8,6 +8,7 @@
 	"agatereach/core/version/agatecatalog"
 	"agatereach/core/version/agatechange"
 	"agatereach/core/version/agateinstance"
+	"agatereach/core/version/agateposition"
 )
 
 // instanceSize is the approximate size of an encoded registration without its
@@ -19,27 +20,29 @@
 // in its own way.
 type pageCollection struct {
 	sender   netip.AddrPort
-	from, to int64
+	from, to agateposition.Position
 	total    int
 	pages    map[int][]agateinstance.Instance
 }
 
 // pagesOf returns pages that hold the given registrations and lead from one
-// revision to another.
-func (s *Sync) pagesOf(records []agateinstance.Instance, from, to int64) []agatenotice.Notice {
+// position to another.
+func (s *Sync) pagesOf(records []agateinstance.Instance, from, to agateposition.Position) []agatenotice.Notice {
 	groups := split(records, s.policy.PageSize, func(i agateinstance.Instance) int {
 		return instanceSize + len(i.Service) + len(i.Centre)
 	})
 	notices := make([]agatenotice.Notice, len(groups))
 	for i, group := range groups {
-		notices[i].Page = &agatenotice.Page{From: from, To: to, Index: i, Total: len(groups), Instances: group}
+		notices[i].Page = &agatenotice.Page{
+			From: from.Revision, FromEra: from.Era, To: to.Revision, ToEra: to.Era, Index: i, Total: len(groups), Instances: group,
+		}
 	}
 	return notices
 }
 
 // snapshotPages returns pages that together hold all registrations of the catalog.
 func (s *Sync) snapshotPages(catalog *agatecatalog.Catalog) []agatenotice.Notice {
-	notices := s.pagesOf(catalog.Instances(), 0, catalog.Revision())
+	notices := s.pagesOf(catalog.Instances(), agateposition.Position{}, catalog.Position())
 	for _, notice := range notices {
 		notice.Page.Snapshot = true
 	}
@@ -64,27 +67,79 @@
 	return groups
 }
 
-// receivePage applies a page. The page's target revision is adopted once all pages
-// that lead to it have arrived and the catalog has reached the revision that they
-// start from.
+// receivePage applies a page. The page's target position is adopted once all pages
+// that lead to it have arrived and the catalog has reached the position that they
+// start from. The merger ignores pages that lead to an earlier era than the catalog's.
 func (s *Sync) receivePage(from netip.AddrPort, p *agatenotice.Page, now time.Duration) {
 	complete := s.receivedPages.add(from, p)
-	changes := agatechange.Changes{Instances: p.Instances}
+	own, to := s.Catalog().Position(), p.ToPosition()
+	changes := agatechange.Changes{Era: p.ToEra, Instances: p.Instances}
 	switch {
-	case p.Snapshot && (!complete || p.To < s.Catalog().Revision()):
+	case p.Snapshot && (!complete || own.After(to)):
 		return
 	case p.Snapshot:
-		changes = agatechange.Changes{Complete: true, Revision: p.To, Instances: s.receivedPages.instances()}
-	case complete && p.From <= s.Catalog().Revision():
+		changes = agatechange.Changes{Complete: true, Era: p.ToEra, Revision: p.To, Instances: s.receivedPages.instances()}
+	case to.Era > own.Era:
+		if complete && p.FromPosition() == own {
+			s.receiveRestore(s.receivedPages.instances(), to, now)
+		}
+		return
+	case complete && !p.FromPosition().After(own):
 		changes.Revision = p.To
 	}
 	s.merger.Apply(changes, now)
 }
 
+// receiveRestore applies what changed when the store was restored.
+func (s *Sync) receiveRestore(records []agateinstance.Instance, to agateposition.Position, now time.Duration) {
+	before := s.Catalog()
+	s.merger.EnterEra(records, to, now)
+	s.recordRestore(before)
+}
+
+// restore holds what changed in the catalog when the store was last restored, for entries
+// that are at the position before.
+type restore struct {
+	// from and to are the positions before and after it.
+	from, to agateposition.Position
+	// changed holds the incarnations whose records changed.
+	changed []agateinstance.Key
+}
+
+// leadsFrom reports whether there was a restore at the given position.
+func (r *restore) leadsFrom(position agateposition.Position) bool {
+	return r.from.Revision > 0 && r.from == position
+}
+
+// recordRestore records the change from an earlier catalog if it is one to another era.
+func (s *Sync) recordRestore(before *agatecatalog.Catalog) {
+	after := s.Catalog()
+	if before.Revision() == 0 || before.Position().Era == after.Position().Era {
+		return
+	}
+	s.restore = restore{from: before.Position(), to: after.Position()}
+	for _, record := range changedRecords(after, before) {
+		s.restore.changed = append(s.restore.changed, record.Key)
+	}
+}
+
+// pagesAfterRestore returns the pages that lead an entry from the position before the
+// restore to the catalog's.
+func (s *Sync) pagesAfterRestore() []agatenotice.Notice {
+	catalog := s.Catalog()
+	records := recordsAfter(catalog, s.restore.to)
+	for _, key := range s.restore.changed {
+		if record, held := catalog.Instance(key); held && !record.Position().After(s.restore.to) {
+			records = append(records, record)
+		}
+	}
+	return s.pagesOf(records, s.restore.from, catalog.Position())
+}
+
 // add stores a page and reports whether all pages of its reply have arrived.
 func (c *pageCollection) add(sender netip.AddrPort, p *agatenotice.Page) bool {
-	if c.sender != sender || c.from != p.From || c.to != p.To || c.total != p.Total {
-		*c = pageCollection{sender: sender, from: p.From, to: p.To, total: p.Total, pages: make(map[int][]agateinstance.Instance)}
+	if c.sender != sender || c.from != p.FromPosition() || c.to != p.ToPosition() || c.total != p.Total {
+		*c = pageCollection{sender: sender, from: p.FromPosition(), to: p.ToPosition(), total: p.Total, pages: make(map[int][]agateinstance.Instance)}
 	}
 	c.pages[p.Index] = p.Instances
 	return len(c.pages) == c.total
--- a/core/process/agatesync/peer.go
+++ b/core/process/agatesync/peer.go
@@ -289,8 +289,8 @@
 func (s *Sync) compareCatalogs(p *peer, b *agatenotice.Heartbeat, now time.Duration) []OutgoingNotice {
 	own := s.Catalog()
 	s.adoptConfirmation(p.address)
-	ahead := b.Version > own.Version() || b.Revision > own.Revision()
-	differs := b.Revision == own.Revision() && b.Digest != own.Digest()
+	ahead := place{b.Stamp(), b.Position()}.newerThan(placeOf(own))
+	differs := b.Position() == own.Position() && b.Digest != own.Digest()
 	trackSince(&p.mismatchSince, differs, now)
 	switch {
 	case ahead && s.preferLocal(p, now):
@@ -300,7 +300,7 @@
 		return s.catchUp(now)
 	case differs && now-p.mismatchSince >= s.policy.MismatchDelay && now-s.lastFullQuery >= s.policy.MismatchDelay:
 		s.lastFullQuery = now
-		return []OutgoingNotice{{To: p.address, Notice: newQuery(0, own.Version())}}
+		return []OutgoingNotice{{To: p.address, Notice: newQuery(place{stamp: own.Stamp()})}}
 	}
 	return nil
 }
@@ -325,16 +325,18 @@
 	if p == nil || p.heartbeat.ConfirmedAge == 0 {
 		return
 	}
-	own := s.Catalog()
-	if p.heartbeat.Version == own.Version() && p.heartbeat.Revision <= own.Revision() && p.heartbeat.Digest == own.Digest() {
+	own, b := s.Catalog(), &p.heartbeat
+	if b.Stamp() == own.Stamp() && b.Era == own.Position().Era && b.Revision <= own.Revision() && b.Digest == own.Digest() {
 		s.confirmedAt = max(s.confirmedAt, p.lastHeard-agateload.DecodeAge(p.heartbeat.ConfirmedAge))
 	}
 }
 
-// newQuery returns a query for registrations after a revision and for a
-// configuration after a version.
-func newQuery(after, version int64) agatenotice.Notice {
-	return agatenotice.Notice{Query: &agatenotice.Query{After: after, Version: version}}
+// newQuery returns a query for what an entry at the given place lacks.
+func newQuery(own place) agatenotice.Notice {
+	return agatenotice.Notice{Query: &agatenotice.Query{
+		Era: own.position.Era, After: own.position.Revision,
+		Version: own.stamp.Version, ConfigEra: own.stamp.Written.Era, ConfigRevision: own.stamp.Written.Revision,
+	}}
 }
 
 // trackSince maintains the time since when a condition has held without
--- a/core/process/agatesync/sync.go
+++ b/core/process/agatesync/sync.go
@@ -16,6 +16,8 @@
 	"agatereach/core/version/agatecatalog"
 	"agatereach/core/version/agatechange"
 	"agatereach/core/version/agateinstance"
+	"agatereach/core/version/agateposition"
+	"agatereach/core/version/agatestamp"
 )
 
 // Self identifies an entry to the others.
@@ -90,7 +92,7 @@
 	localLag, remoteLag lag
 	// announced is the position of the catalog at the last announcement to a few
 	// peers, at lastAnnouncement.
-	announced        position
+	announced        place
 	lastAnnouncement time.Duration
 	// receivedPages holds the pages of the reply that is being received, and
 	// pendingChanges the configuration changes that are being assembled, oldest
@@ -98,10 +100,15 @@
 	receivedPages  pageCollection
 	pendingChanges []*pendingChange
 	// recentConfigs holds the last configurations, oldest first. encodedParts
-	// caches the parts that lead to the newest configuration, by the version that
-	// they start from.
+	// caches the parts that lead to the newest configuration, by the stamp that they
+	// start from.
 	recentConfigs []*agatecatalog.Config
-	encodedParts  map[int64][]agatenotice.Notice
+	encodedParts  map[agatestamp.Stamp][]agatenotice.Notice
+	// listed is whether this entry has listed the store in the era listedEra, and
+	// restore what changed when the store was last restored.
+	listed    bool
+	listedEra uint32
+	restore   restore
 	// replyBudget is the number of bytes that replies may take, as of lastRefill.
 	replyBudget int
 	lastRefill  time.Duration
@@ -170,8 +177,18 @@
 	s.now = now
 	before := s.Catalog()
 	s.merger.Apply(changes, now)
-	s.confirmedAt = max(s.confirmedAt, asked)
 	s.storeFailing = false
+	era := s.Catalog().Position().Era
+	if changes.Era > era {
+		s.listed = false
+	}
+	if changes.Era == era {
+		s.confirmedAt = max(s.confirmedAt, asked)
+		if changes.Complete {
+			s.listed, s.listedEra = true, era
+		}
+	}
+	s.recordRestore(before)
 	if before.Revision() == 0 {
 		// After a power cut all entries read the store at once. Pages sent to all
 		// of them would cost each more time than its own read; entries without a
@@ -210,8 +227,8 @@
 		return nil
 	}
 	notices := s.pagesSince(after, before)
-	if after.Version() != before.Version() {
-		notices = append(notices, s.partsSince(before.Version())...)
+	if after.Stamp() != before.Stamp() {
+		notices = append(notices, s.partsSince(before.Stamp())...)
 	}
 	var sends []OutgoingNotice
 	for _, p := range s.pushTargets(len(notices)) {
@@ -222,22 +239,30 @@
 
 // pagesSince returns the pages that lead from an earlier catalog to a later one.
 // They include records that the earlier catalog already held beyond its own
-// revision, since another entry at that revision may lack them.
+// position, since another entry at that position may lack them.
 func (s *Sync) pagesSince(after, before *agatecatalog.Catalog) []agatenotice.Notice {
-	if before.Revision() < after.Floor() {
+	restored := before.Revision() > 0 && before.Position().Era != after.Position().Era
+	if !restored && after.Floor().After(before.Position()) {
 		return s.snapshotPages(after)
 	}
+	changed := changedRecords(after, before)
+	if len(changed) == 0 && after.Position() == before.Position() {
+		return nil
+	}
+	return s.pagesOf(changed, before.Position(), after.Position())
+}
+
+// changedRecords returns the records that an entry at the position of an earlier catalog
+// may lack.
+func changedRecords(after, before *agatecatalog.Catalog) []agateinstance.Instance {
 	var changed []agateinstance.Instance
 	for instance := range after.All() {
 		earlier, ok := before.Instance(instance.Key)
-		if !ok || earlier != instance || instance.Revision > before.Revision() {
+		if !ok || earlier != instance || instance.Position().After(before.Position()) {
 			changed = append(changed, instance)
 		}
 	}
-	if len(changed) == 0 && after.Revision() == before.Revision() {
-		return nil
-	}
-	return s.pagesOf(changed, before.Revision(), after.Revision())
+	return changed
 }
 
 // Duty is the reason for which an entry reads the store.
@@ -288,6 +313,16 @@
 	return None
 }
 
+// ListingDue reports whether the next read of the store should list everything: this entry
+// has not done so in the store's era, or states known from an earlier era can be confirmed.
+func (s *Sync) ListingDue(now time.Duration) bool {
+	return !s.listed || s.listedEra != s.Catalog().Position().Era || s.merger.ListingDue(now)
+}
+
+// HandleCompaction records that the store does not have the changes after the catalog's
+// position.
+func (s *Sync) HandleCompaction() { s.listed = false }
+
 // startupWait returns how long an entry without a catalog waits for its peers
 // before it reads the store: longer once a peer has announced a catalog.
 func (s *Sync) startupWait() time.Duration {
@@ -356,7 +391,7 @@
 		s.receivePage(from, n.Page, now)
 		s.adoptConfirmation(from)
 	case n.Part != nil:
-		s.receivePart(n.Part, now)
+		s.receivePart(n.Part)
 		s.adoptConfirmation(from)
 	}
 	return nil
@@ -367,25 +402,28 @@
 func (s *Sync) reply(to netip.AddrPort, query *agatenotice.Query) []OutgoingNotice {
 	catalog := s.Catalog()
 	var notices []agatenotice.Notice
+	after := query.Position()
 	switch {
-	case query.After < catalog.Floor():
+	case s.restore.leadsFrom(after):
+		notices = s.pagesAfterRestore()
+	case catalog.Floor().After(after):
 		notices = s.snapshotPages(catalog)
-	case query.After < catalog.Revision():
-		notices = s.pagesOf(recordsAfter(catalog, query.After), query.After, catalog.Revision())
+	case catalog.Position().After(after):
+		notices = s.pagesOf(recordsAfter(catalog, after), after, catalog.Position())
 	}
-	notices = append(notices, s.partsSince(query.Version)...)
+	notices = append(notices, s.partsSince(query.Stamp())...)
 	if len(notices) == 0 || !s.takeReplyBudget(len(notices)) {
 		return nil
 	}
 	return addressTo(to, notices)
 }
 
-// recordsAfter returns the records after a revision, including those of servers
+// recordsAfter returns the records after a position, including those of servers
 // that are gone.
-func recordsAfter(catalog *agatecatalog.Catalog, after int64) []agateinstance.Instance {
+func recordsAfter(catalog *agatecatalog.Catalog, after agateposition.Position) []agateinstance.Instance {
 	var records []agateinstance.Instance
 	for instance := range catalog.All() {
-		if instance.Revision > after {
+		if instance.Position().After(after) {
 			records = append(records, instance)
 		}
 	}
--- a/core/version/agatecatalog/catalog.go
+++ b/core/version/agatecatalog/catalog.go
@@ -1,6 +1,6 @@
 // Package agatecatalog holds the configuration and the registered backend servers
-// as an immutable value. Newer values never have a lower version or revision,
-// whatever the order in which the sources deliver.
+// as an immutable value. Newer values never have a lower version or an earlier position
+// in the store's history, whatever the order in which the sources deliver.
 package agatecatalog
 
 import (
@@ -11,7 +11,9 @@
 	"slices"
 
 	"agatereach/core/version/agateinstance"
+	"agatereach/core/version/agateposition"
 	"agatereach/core/version/agateshard"
+	"agatereach/core/version/agatestamp"
 	"agatereach/core/version/agatevip"
 )
 
@@ -47,11 +49,11 @@
 	byAddress agateshard.Map[netip.AddrPort, agateinstance.Key]
 	// digest is the exclusive or of the digests of all instances.
 	digest uint64
-	// floor is the revision after which every removal is still held as an
-	// instance that is gone; at most revision.
-	floor int64
-	// revision is the store's revision up to which all changes are included.
-	revision int64
+	// floor is the position after which every removal is still held as an
+	// instance that is gone; at most position.
+	floor agateposition.Position
+	// position is that in the store's history up to which all changes are included.
+	position agateposition.Position
 }
 
 // Version returns the version of the configuration, 0 before the first one.
@@ -62,13 +64,25 @@
 	return c.config.Version
 }
 
-// Revision returns the store's revision up to which all changes are included.
-func (c *Catalog) Revision() int64 { return c.revision }
+// Stamp returns what identifies the configuration, the zero value before the first one.
+func (c *Catalog) Stamp() agatestamp.Stamp {
+	if c.config == nil {
+		return agatestamp.Stamp{}
+	}
+	return c.config.Stamp()
+}
 
-// Floor returns the revision after which every removal is still held. A reader
-// whose revision is lower needs a complete listing, since the changes after its
-// revision may lack removals.
-func (c *Catalog) Floor() int64 { return c.floor }
+// Position returns the position in the store's history up to which all changes are
+// included, the zero value before the first catalog.
+func (c *Catalog) Position() agateposition.Position { return c.position }
+
+// Revision returns the revision of the position.
+func (c *Catalog) Revision() int64 { return c.position.Revision }
+
+// Floor returns the position after which every removal is still held. A reader
+// whose position is before it needs a complete listing, since the changes after its
+// position may lack removals.
+func (c *Catalog) Floor() agateposition.Position { return c.floor }
 
 // Digest returns a hash of the registrations that are not gone. It is equal for
 // two catalogs that hold the same ones.
@@ -174,10 +188,10 @@
 	}
 }
 
-// WithConfig returns the catalog with the configuration if it is newer than the
-// current one, and reports whether it is.
+// WithConfig returns the catalog with the configuration if it replaces the current one,
+// and reports whether it does.
 func (c *Catalog) WithConfig(config *Config) (*Catalog, bool) {
-	if config == nil || config.Version <= c.Version() {
+	if config == nil || !config.Stamp().After(c.Stamp()) {
 		return c, false
 	}
 	next := *c
@@ -186,34 +200,34 @@
 	return &next, true
 }
 
-// WithRevision returns the catalog marked as complete up to the revision. The
-// revision is never lowered.
-func (c *Catalog) WithRevision(revision int64) *Catalog {
-	if revision <= c.revision {
+// WithPosition returns the catalog marked as complete up to the position. The position
+// never becomes an earlier one.
+func (c *Catalog) WithPosition(position agateposition.Position) *Catalog {
+	if !position.After(c.position) {
 		return c
 	}
 	next := *c
-	next.revision = revision
+	next.position = position
 	return &next
 }
 
-// WithFloor returns the catalog with a floor of at least the given revision.
-func (c *Catalog) WithFloor(revision int64) *Catalog {
-	if revision <= c.floor {
+// WithFloor returns the catalog with a floor of at least the given position.
+func (c *Catalog) WithFloor(position agateposition.Position) *Catalog {
+	if !position.After(c.floor) {
 		return c
 	}
 	next := *c
-	next.floor = revision
+	next.floor = position
 	return &next
 }
 
-// WithInstances returns the catalog with those records that are newer than its
-// own, and reports whether there was one. An incarnation is marked as gone when a
+// WithInstances returns the catalog with those records that replace its own, and
+// reports whether there was one. An incarnation is marked as gone when a
 // newer one with the same id is added.
 func (c *Catalog) WithInstances(records []agateinstance.Instance) (*Catalog, bool) {
 	var d draft
 	for _, record := range records {
-		if c.isNewer(&d, record) {
+		if c.replaces(&d, record) {
 			d.start(c)
 			d.put(record)
 		}
@@ -224,20 +238,20 @@
 	return d.commit(c), true
 }
 
-// isNewer reports whether the record is newer than the one in the draft, or in
-// the catalog if the draft has not been started.
-func (c *Catalog) isNewer(d *draft, record agateinstance.Instance) bool {
+// replaces reports whether the record replaces the one in the draft, or in the
+// catalog if the draft has not been started.
+func (c *Catalog) replaces(d *draft, record agateinstance.Instance) bool {
 	instances := c.instances
 	if d.started {
 		instances = d.instances.Map
 	}
 	held, ok := instances.Get(record.Key)
-	return !ok || record.Revision > held.Revision
+	return !ok || record.Replaces(held)
 }
 
 // WithoutGone returns the catalog without the records of those incarnations that
-// are gone and for which forget returns true. It raises the floor to the highest
-// revision of a dropped record.
+// are gone and for which forget returns true. It raises the floor to the last
+// position of a dropped record.
 func (c *Catalog) WithoutGone(forget func(agateinstance.Instance) bool) *Catalog {
 	var d draft
 	floor := c.floor
@@ -245,11 +259,14 @@
 		if instance.State == agateinstance.Gone && forget(instance) {
 			d.start(c)
 			d.delete(key)
-			floor = max(floor, instance.Revision)
+			floor = floor.Max(instance.Position())
 		}
 	}
 	if !d.started {
 		return c
 	}
-	return d.commit(c).WithFloor(min(floor, c.revision))
+	if floor.After(c.position) {
+		floor = c.position
+	}
+	return d.commit(c).WithFloor(floor)
 }
--- a/core/version/agatecatalog/config.go
+++ b/core/version/agatecatalog/config.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"agatereach/core/version/agatestamp"
 	"agatereach/core/version/agatevip"
 )
 
@@ -11,12 +12,18 @@
 type Config struct {
 	// Version is the number that operators assign; 0 before the first version.
 	Version int64 `cbor:"1,keyasint"`
+	// Era and Revision are the store's when the configuration was written.
+	Era      uint32 `cbor:"4,keyasint,omitempty"`
+	Revision int64  `cbor:"5,keyasint,omitempty"`
 	// VIPs holds the virtual addresses; their addresses are unique.
 	VIPs []agatevip.VIP `cbor:"2,keyasint"`
 	// IdleTimeout is how long a flow may be idle before its state is dropped.
 	IdleTimeout time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
+// Stamp returns what identifies the configuration.
+func (c *Config) Stamp() agatestamp.Stamp { return agatestamp.New(c.Version, c.Era, c.Revision) }
+
 // Check returns the error of the first virtual address that is not valid.
 func (c *Config) Check() error {
 	for _, vip := range c.VIPs {
--- a/core/version/agatecatalog/draft.go
+++ b/core/version/agatecatalog/draft.go
@@ -6,6 +6,7 @@
 	"unique"
 
 	"agatereach/core/version/agateinstance"
+	"agatereach/core/version/agateposition"
 	"agatereach/core/version/agateshard"
 )
 
@@ -55,7 +56,7 @@
 	case !known || record.StartTime > latest.StartTime:
 		d.newest.Set(record.ID, record.Key)
 		if known {
-			d.markGone(latest, record.Revision)
+			d.markGone(latest, record.Position())
 		}
 	case record.StartTime < latest.StartTime:
 		record.State = agateinstance.Gone
@@ -87,9 +88,9 @@
 }
 
 // markGone marks an earlier incarnation as gone.
-func (d *draft) markGone(key agateinstance.Key, revision int64) {
+func (d *draft) markGone(key agateinstance.Key, written agateposition.Position) {
 	earlier, _ := d.instances.Get(key)
-	d.set(earlier.WithState(agateinstance.Gone, max(revision, earlier.Revision)))
+	d.set(earlier.WithState(agateinstance.Gone, written.Max(earlier.Position())))
 }
 
 // delete drops the record and the tokens of an incarnation.
--- a/core/version/agatechange/change.go
+++ b/core/version/agatechange/change.go
@@ -7,6 +7,7 @@
 
 	"agatereach/core/version/agatecatalog"
 	"agatereach/core/version/agateinstance"
+	"agatereach/core/version/agateposition"
 )
 
 // CompactedError reports that the source does not have the changes after a
@@ -23,11 +24,33 @@
 	return fmt.Sprintf("changes after revision %d are not held in era %d", e.After, e.Era)
 }
 
+// RestoredError reports a source that was restored while it was listed.
+type RestoredError struct {
+	// Before and Era are the eras of the first and the latest part of the listing.
+	Before, Era uint32
+}
+
+// Error names both eras.
+func (e *RestoredError) Error() string {
+	return fmt.Sprintf("era changed from %d to %d during a listing", e.Before, e.Era)
+}
+
+// RegressionError reports an answer of a source that is from before what is known of it.
+type RegressionError struct {
+	// Position is that of the answer, and Known one that the source has had before.
+	Position, Known agateposition.Position
+}
+
+// Error names both positions.
+func (e *RegressionError) Error() string {
+	return fmt.Sprintf("answer at %s, the source was at %s before", e.Position, e.Known)
+}
+
 // Removal is a registration that was removed or can't be read.
 type Removal struct {
 	// ID is the id of the server.
 	ID uint64 `cbor:"1,keyasint"`
-	// Revision is the revision of the removal.
+	// Revision is the revision of the removal, in the era of the delivery.
 	Revision int64 `cbor:"2,keyasint"`
 }
 
@@ -75,3 +98,8 @@
 	// Malformed is the number of entries of the source that could not be read.
 	Malformed int
 }
+
+// Position returns the position up to which all changes have been delivered.
+func (c *Changes) Position() agateposition.Position {
+	return agateposition.Position{Era: c.Era, Revision: c.Revision}
+}
--- a/core/version/agatediff/diff.go
+++ b/core/version/agatediff/diff.go
@@ -16,6 +16,7 @@
 
 	"agatereach/core/request/agatecodec"
 	"agatereach/core/version/agatecatalog"
+	"agatereach/core/version/agatestamp"
 	"agatereach/core/version/agatevip"
 )
 
@@ -32,23 +33,30 @@
 // Error names the field.
 func (e *FieldError) Error() string { return fmt.Sprintf("diff: field %s is not valid", e.Field) }
 
-// BaseError reports a diff that was applied to a version other than its base.
+// BaseError reports a diff that was applied to another configuration than its base.
 type BaseError struct {
-	// Version is the version that the diff was applied to, and Want its base.
-	Version, Want int64
+	// Stamp is that of the configuration that the diff was applied to, and Want that
+	// of its base.
+	Stamp, Want agatestamp.Stamp
 }
 
-// Error gives both versions.
+// Error gives both versions and where they were written.
 func (e *BaseError) Error() string {
-	return fmt.Sprintf("diff from version %d applied to version %d", e.Want, e.Version)
+	return fmt.Sprintf("diff from version %d written at %s applied to version %d written at %s",
+		e.Want.Version, e.Want.Written, e.Stamp.Version, e.Stamp.Written)
 }
 
 // Diff is the difference between a version of the configuration and a later one.
 type Diff struct {
-	// From is the base version, 0 for no configuration, and Version the resulting
-	// version, which is higher.
-	From    int64 `cbor:"1,keyasint"`
-	Version int64 `cbor:"2,keyasint"`
+	// From, FromEra and FromRevision identify the base; From is 0 for no
+	// configuration. Version, Era and Revision identify the resulting configuration,
+	// which replaces the base.
+	From         int64  `cbor:"1,keyasint"`
+	FromEra      uint32 `cbor:"6,keyasint,omitempty"`
+	FromRevision int64  `cbor:"7,keyasint,omitempty"`
+	Version      int64  `cbor:"2,keyasint"`
+	Era          uint32 `cbor:"8,keyasint,omitempty"`
+	Revision     int64  `cbor:"9,keyasint,omitempty"`
 	// IdleTimeout is the idle timeout of the resulting version.
 	IdleTimeout time.Duration `cbor:"3,keyasint,omitempty"`
 	// Set holds the virtual addresses that are new or changed, and Removed those
@@ -60,10 +68,10 @@
 // New returns the diff from one configuration to a later one. If before is nil, the
 // diff contains the complete later configuration.
 func New(before, after *agatecatalog.Config) Diff {
-	d := Diff{Version: after.Version, IdleTimeout: after.IdleTimeout}
+	d := Diff{Version: after.Version, Era: after.Era, Revision: after.Revision, IdleTimeout: after.IdleTimeout}
 	former := make(map[netip.AddrPort]agatevip.VIP)
 	if before != nil {
-		d.From = before.Version
+		d.From, d.FromEra, d.FromRevision = before.Version, before.Era, before.Revision
 		for _, vip := range before.VIPs {
 			former[vip.Address] = vip
 		}
@@ -82,17 +90,23 @@
 	return d
 }
 
+// Base returns the stamp of the base, the zero value for no configuration.
+func (d *Diff) Base() agatestamp.Stamp { return agatestamp.New(d.From, d.FromEra, d.FromRevision) }
+
+// Stamp returns the stamp of the resulting configuration.
+func (d *Diff) Stamp() agatestamp.Stamp { return agatestamp.New(d.Version, d.Era, d.Revision) }
+
 // Apply returns the resulting configuration. base is nil for a diff whose base
 // version is 0. The error is a *BaseError.
 func (d Diff) Apply(base *agatecatalog.Config) (*agatecatalog.Config, error) {
-	version := int64(0)
+	var stamp agatestamp.Stamp
 	var vips []agatevip.VIP
 	if base != nil {
-		version = base.Version
+		stamp = base.Stamp()
 		vips = base.VIPs
 	}
-	if version != d.From {
-		return nil, &BaseError{Version: version, Want: d.From}
+	if stamp != d.Base() {
+		return nil, &BaseError{Stamp: stamp, Want: d.Base()}
 	}
 	replaced := make(map[netip.AddrPort]bool, len(d.Set)+len(d.Removed))
 	for _, vip := range d.Set {
@@ -101,7 +115,7 @@
 	for _, address := range d.Removed {
 		replaced[address] = true
 	}
-	config := &agatecatalog.Config{Version: d.Version, IdleTimeout: d.IdleTimeout, VIPs: slices.Clone(d.Set)}
+	config := &agatecatalog.Config{Version: d.Version, Era: d.Era, Revision: d.Revision, IdleTimeout: d.IdleTimeout, VIPs: slices.Clone(d.Set)}
 	for _, vip := range vips {
 		if !replaced[vip.Address] {
 			config.VIPs = append(config.VIPs, vip)
@@ -153,7 +167,7 @@
 
 func (d *Diff) check() error {
 	switch {
-	case d.From < 0 || d.Version <= d.From:
+	case !d.Base().Valid() || !d.Stamp().Valid() || !d.Stamp().After(d.Base()):
 		return &FieldError{Field: "version"}
 	case d.IdleTimeout < 0:
 		return &FieldError{Field: "idle timeout"}
--- a/core/version/agateinstance/instance.go
+++ b/core/version/agateinstance/instance.go
@@ -3,12 +3,15 @@
 package agateinstance
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"net/netip"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"agatereach/core/version/agateposition"
 )
 
 // State determines whether an instance receives flows.
@@ -72,9 +75,10 @@
 // Instance is one incarnation of a backend server.
 type Instance struct {
 	Key
-	// Revision is the store's revision at which the record was written. Of two
-	// records of a server the one with the higher revision is valid.
-	Revision int64 `cbor:"3,keyasint"`
+	// Revision is the store's revision at which the record was written, and Era the
+	// store's era. Of two records of an incarnation the later one is valid.
+	Revision int64  `cbor:"3,keyasint"`
+	Era      uint32 `cbor:"10,keyasint,omitempty"`
 	// Service is the name of the service that the server provides; not empty.
 	Service string `cbor:"4,keyasint"`
 	// Address is where the server receives packets; IPv4.
@@ -86,6 +90,11 @@
 	Slots int `cbor:"7,keyasint"`
 	// State determines whether the server receives flows.
 	State State `cbor:"8,keyasint"`
+	// StateEra is the era in which State was decided if the store was restored and the
+	// record is one of its copy: an earlier one if State was known from there, or Era if
+	// the store has listed the record for longer than a lease. It is 0 if State is as
+	// written. Of two records of the same position the one with the later era is valid.
+	StateEra uint32 `cbor:"11,keyasint,omitempty"`
 	// WarmUp is the remaining time, counted from the record, during which the
 	// server is slow because it has just started.
 	WarmUp time.Duration `cbor:"9,keyasint,omitempty"`
@@ -106,6 +115,8 @@
 		return &FieldError{ID: i.ID, Field: "cold"}
 	case i.Revision < 1:
 		return &FieldError{ID: i.ID, Field: "revision"}
+	case i.StateEra > i.Era:
+		return &FieldError{ID: i.ID, Field: "state era"}
 	}
 	return nil
 }
@@ -125,9 +136,50 @@
 	return xxhash.Sum64(input[:])
 }
 
-// WithState returns the instance with another state and revision.
-func (i Instance) WithState(state State, revision int64) Instance {
-	i.State = state
-	i.Revision = revision
+// Position returns where the record was written.
+func (i Instance) Position() agateposition.Position {
+	return agateposition.Position{Era: i.Era, Revision: i.Revision}
+}
+
+// Replaces reports whether the record is to replace another one of the incarnation: it is
+// later and not the same write, seen in the copy from which the store was restored.
+func (i Instance) Replaces(other Instance) bool {
+	if cmp.Or(i.Position().Compare(other.Position()), cmp.Compare(i.StateEra, other.StateEra)) <= 0 {
+		return false
+	}
+	other.Era = i.Era
+	return i != other
+}
+
+// Carried reports whether the record's state is known from an earlier era than that of the
+// record.
+func (i Instance) Carried() bool { return i.StateEra != 0 && i.StateEra != i.Era }
+
+// restrictions orders the states by what the server may be given.
+var restrictions = map[State]int{Ready: 0, Draining: 1, Gone: 2}
+
+// Carry returns a record of a restored store with the state that the incarnation is known
+// to have had before, if that state is more restrictive and the record may be one of the
+// copy. A record with a higher revision than the known one is not: it is a later write,
+// of whichever era.
+func (i Instance) Carry(known Instance) Instance {
+	later := i.Revision > known.Revision || i.Revision == known.Revision && known.StateEra == 0
+	if known.Era >= i.Era || later || restrictions[known.State] <= restrictions[i.State] {
+		return i
+	}
+	i.State, i.StateEra = known.State, known.Era
+	return i
+}
+
+// WithState returns the instance with another state, written at a position.
+func (i Instance) WithState(state State, written agateposition.Position) Instance {
+	i.State, i.StateEra = state, 0
+	i.Era, i.Revision = written.Era, written.Revision
+	return i
+}
+
+// WithConfirmedState returns the instance with its state confirmed in the record's era.
+func (i Instance) WithConfirmedState() Instance {
+	i.StateEra = i.Era
 	return i
 }
--- a/ctl/process/agatecommand/fleet.go
+++ b/ctl/process/agatecommand/fleet.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"agatereach/core/process/agatedump"
+	"agatereach/core/version/agateposition"
 	"agatereach/ctl/request/agateclient"
 )
 
@@ -28,10 +29,11 @@
 type member struct {
 	// Entry is the address that was asked.
 	Entry string `json:"entry"`
-	// VM, Centre, Version, Revision, Age and Reading are those of its dump.
+	// VM, Centre, Version, Era, Revision, Age and Reading are those of its dump.
 	VM       string        `json:"vm,omitempty"`
 	Centre   string        `json:"centre,omitempty"`
 	Version  int64         `json:"version"`
+	Era      uint32        `json:"era"`
 	Revision int64         `json:"revision"`
 	Age      time.Duration `json:"age"`
 	Reading  bool          `json:"reading"`
@@ -41,7 +43,8 @@
 	Silent []string `json:"silent,omitempty"`
 	// Failing are the servers whose answers it takes for failures.
 	Failing []string `json:"failing,omitempty"`
-	// Behind is how far its revision is behind the newest one.
+	// Behind is how far its revision is behind the newest one of the latest era; an
+	// entry of an earlier era is behind by all of that era's revisions.
 	Behind int64 `json:"behind"`
 	// Error says why the entry gave no answer; empty when it did.
 	Error string `json:"error,omitempty"`
@@ -83,7 +86,7 @@
 		return member{Entry: address, Error: err.Error()}
 	}
 	m := member{
-		Entry: address, VM: d.VM, Centre: d.Centre, Version: d.Version, Revision: d.Revision,
+		Entry: address, VM: d.VM, Centre: d.Centre, Version: d.Version, Era: d.Era, Revision: d.Revision,
 		Age: d.Age, Reading: d.ReadsStore, Peers: len(d.Peers),
 	}
 	m.Silent = hexadecimal(d.Silent())
@@ -101,12 +104,13 @@
 }
 
 // compare sets how far each entry is behind, and returns a finding if one holds
-// another version than the newest.
+// another version than the newest or is at an earlier era of the store.
 func compare(members []member) error {
-	var version, revision int64
+	var version int64
+	var newest agateposition.Position
 	for _, m := range members {
 		version = max(version, m.Version)
-		revision = max(revision, m.Revision)
+		newest = newest.Max(agateposition.Position{Era: m.Era, Revision: m.Revision})
 	}
 	behind := 0
 	for i := range members {
@@ -114,26 +118,30 @@
 		if m.Error != "" {
 			continue
 		}
-		m.Behind = revision - m.Revision
-		if m.Version < version {
+		m.Behind = newest.Revision
+		if m.Era == newest.Era {
+			m.Behind -= m.Revision
+		}
+		if m.Version < version || m.Era < newest.Era {
 			behind++
 		}
 	}
 	if behind == 0 {
 		return nil
 	}
-	return &FindingError{Text: fmt.Sprintf("%d of %d entries are behind version %d", behind, len(members), version)}
+	return &FindingError{Text: fmt.Sprintf("%d of %d entries are behind version %d in era %d", behind, len(members), version, newest.Era)}
 }
 
 func (f *fleet) print(members []member) error {
 	rows := make([][]string, len(members))
 	for i, m := range members {
 		rows[i] = []string{
-			m.Entry, m.VM, m.Centre, strconv.FormatInt(m.Version, 10), strconv.FormatInt(m.Behind, 10),
+			m.Entry, m.VM, m.Centre, strconv.FormatInt(m.Version, 10),
+			strconv.FormatUint(uint64(m.Era), 10), strconv.FormatInt(m.Behind, 10),
 			m.Age.Round(time.Millisecond).String(), strconv.FormatBool(m.Reading), strconv.Itoa(m.Peers),
 			strings.Join(m.Silent, " "), strings.Join(m.Failing, " "), m.Error,
 		}
 	}
-	header := []string{"entry", "vm", "centre", "version", "behind", "age", "reading", "peers", "silent", "failing", "error"}
+	header := []string{"entry", "vm", "centre", "version", "era", "behind", "age", "reading", "peers", "silent", "failing", "error"}
 	return f.command.output().Print(members, header, rows)
 }
--- a/entry/process/agatedirect/direct.go
+++ b/entry/process/agatedirect/direct.go
@@ -4,6 +4,7 @@
 package agatedirect
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -58,6 +59,11 @@
 	// registration expired during it may take to register again. Servers write to
 	// the store about once a second.
 	reregistrationTime = 2250 * time.Millisecond
+	// defaultBeat is the time between two writes of a server to the store if the
+	// settings do not name it, and leaseBeats the number of those that a server misses
+	// before its registration expires.
+	defaultBeat = 1200 * time.Millisecond
+	leaseBeats  = 3
 	// settingsCheckInterval is the interval at which the settings are read again
 	// without a signal. Each check reads one small file.
 	settingsCheckInterval = 5 * time.Second
@@ -210,6 +216,7 @@
 	return agatemerge.Policy{
 		RemovalGrace:  d.setup.Bounds.DrainTime() / 3,
 		OutageGrace:   reregistrationTime,
+		LeaseTime:     leaseBeats*cmp.Or(d.setup.Bounds.BeatTime(), defaultBeat) + reregistrationTime,
 		GoneRetention: d.setup.Bounds.LifetimeTime(),
 	}
 }
--- a/entry/process/agatekeeper/keeper.go
+++ b/entry/process/agatekeeper/keeper.go
@@ -71,9 +71,6 @@
 	duty agatesync.Duty
 	// currentRead is the read that is under way.
 	currentRead storeRead
-	// listingDone is whether everything has been listed since the start of the
-	// process, or since the store compacted the history that a watch asked for.
-	listingDone bool
 	// nextRead is the earliest time of the next read, and retryDelay the delay
 	// after the next failure, before jitter.
 	nextRead   time.Time
@@ -283,14 +280,39 @@
 	if view == k.publishedView {
 		return
 	}
-	if from := k.publishedVersion(); view.Catalog.Version() != from {
-		k.log.Info("config: in force", "version", view.Catalog.Version(), "from", from, "revision", view.Catalog.Revision(), "source", source)
-	}
+	k.logChange(view.Catalog, source)
 	k.updateMetrics(view)
 	k.publishedView = view
 	k.handlers.View(view)
 }
 
+// logChange logs a configuration that is newly in force, and a restore of the store.
+func (k *Keeper) logChange(catalog *agatecatalog.Catalog, source string) {
+	before := k.publishedView.Catalog
+	if before == nil {
+		before = new(agatecatalog.Catalog)
+	}
+	if written := catalog.Stamp().Written; catalog.Stamp() != before.Stamp() {
+		k.log.Info("config: in force", "version", catalog.Version(), "from", before.Version(),
+			"era", written.Era, "revision", written.Revision, "source", source)
+	}
+	if at, was := catalog.Position(), before.Position(); at.Era != was.Era && was.Revision > 0 {
+		k.log.Warn("store: restored", "era", at.Era, "revision", at.Revision, "from_era", was.Era, "from_revision", was.Revision,
+			"version", catalog.Version(), "carried", countCarried(catalog), "source", source)
+	}
+}
+
+// countCarried returns the number of incarnations whose state is known from an earlier era.
+func countCarried(catalog *agatecatalog.Catalog) int {
+	carried := 0
+	for instance := range catalog.All() {
+		if instance.Carried() {
+			carried++
+		}
+	}
+	return carried
+}
+
 // updateMetrics sets the metrics that depend on the view.
 func (k *Keeper) updateMetrics(view View) {
 	k.meter.SetConfirmed(view.ConfirmedAt)
--- a/entry/process/agatekeeper/reads.go
+++ b/entry/process/agatekeeper/reads.go
@@ -9,6 +9,8 @@
 	"agatereach/core/process/agatesync"
 	"agatereach/core/version/agatecatalog"
 	"agatereach/core/version/agatechange"
+	"agatereach/core/version/agateposition"
+	"agatereach/core/version/agatestamp"
 	"agatereach/entry/process/agatemeter"
 	"agatereach/entry/process/agatestorereader"
 )
@@ -43,9 +45,10 @@
 	active  bool
 	request agatestorereader.Request
 	cancel  context.CancelFunc
-	// version and digest are those of the catalog when the read began. staleSince
-	// is when the catalog was first seen to differ from them.
-	version    int64
+	// stamp, position and digest are those of the catalog when the read began.
+	// staleSince is when the catalog was first seen to differ from them.
+	stamp      agatestamp.Stamp
+	position   agateposition.Position
 	digest     uint64
 	staleSince time.Time
 }
@@ -60,7 +63,7 @@
 		return
 	}
 	request := agatestorereader.Request{
-		ListAll: !k.listingDone, AfterRevision: k.sync.Catalog().Revision(), Wait: k.timing.WatchWait, AnswerTimeout: k.timing.AnswerTimeout,
+		ListAll: k.sync.ListingDue(k.now()), AfterRevision: k.sync.Catalog().Revision(), Wait: k.timing.WatchWait, AnswerTimeout: k.timing.AnswerTimeout,
 	}
 	timeout := k.timing.AnswerTimeout + request.Wait
 	if request.ListAll {
@@ -70,7 +73,7 @@
 	request.Context, cancel = context.WithTimeout(ctx, timeout)
 	k.currentRead = storeRead{
 		active: true, request: request, cancel: cancel,
-		version: k.sync.Catalog().Version(), digest: k.sync.Catalog().Digest(),
+		stamp: k.sync.Catalog().Stamp(), position: k.sync.Catalog().Position(), digest: k.sync.Catalog().Digest(),
 	}
 	k.reader.Submit(request)
 }
@@ -90,7 +93,8 @@
 func (k *Keeper) cancelStuckWatch() {
 	r := &k.currentRead
 	catalog := k.sync.Catalog()
-	if r.request.ListAll || catalog.Version() == r.version && catalog.Digest() == r.digest {
+	same := catalog.Stamp() == r.stamp && catalog.Digest() == r.digest && catalog.Position().Era == r.position.Era
+	if r.request.ListAll || same {
 		return
 	}
 	if r.staleSince.IsZero() {
@@ -112,6 +116,9 @@
 // handleResult processes the result of a read and schedules the next one.
 func (k *Keeper) handleResult(r agatestorereader.Result) {
 	k.currentRead.cancel()
+	if at := r.Changes.Position(); r.Err == nil && k.currentRead.position.After(at) {
+		r.Err = &agatechange.RegressionError{Position: at, Known: k.currentRead.position}
+	}
 	k.currentRead = storeRead{}
 	k.meter.ObserveRead(readOutcome(r.Err), time.Since(r.StartedAt))
 	if r.Err != nil {
@@ -124,19 +131,21 @@
 	}
 	k.retryDelay = k.timing.RetryMin
 	k.nextRead = time.Now().Add(k.timing.WatchPause)
-	if !k.listingDone && k.duty == agatesync.Start {
+	before := k.sync.Catalog()
+	if before.Revision() == 0 && k.duty == agatesync.Start {
 		k.nextRead = time.Now().Add(k.timing.SettleDelay)
 	}
-	k.listingDone = true
 	k.logUnreadableAddresses(r.Changes)
 	if r.Changes.Malformed > 0 {
 		k.log.Warn("store: entries not understood", "entries", r.Changes.Malformed)
 	}
-	before := k.sync.Catalog()
 	sends := k.sync.HandleRead(r.Changes, r.ConfirmedAt().Sub(k.clockStart), k.now())
 	// Callers wait for the new catalog, so it is published before notices are sent.
 	k.publish(sourceStore)
 	k.logAnswer(&r, before)
+	if r.Changes.Era > k.sync.Catalog().Position().Era {
+		k.nextRead = time.Time{}
+	}
 	k.send(sends)
 }
 
@@ -159,7 +168,7 @@
 	after := k.sync.Catalog()
 	k.log.Info("store: answer", "complete", c.Complete, "after", r.Request.AfterRevision, "era", c.Era, "revision", c.Revision,
 		"version", version, "servers", len(c.Instances), "removals", len(c.Removals),
-		"held", before.Version(), "at", before.Revision(), "applied", after != before)
+		"held", before.Version(), "at_era", before.Position().Era, "at", before.Revision(), "applied", after != before)
 }
 
 // logUnreadableAddresses logs the virtual addresses of a new configuration that could
@@ -190,7 +199,7 @@
 	var compacted *agatechange.CompactedError
 	if errors.As(err, &compacted) {
 		k.log.Info("store: history is gone, reading everything", "after", compacted.After, "era", compacted.Era)
-		k.listingDone = false
+		k.sync.HandleCompaction()
 		k.nextRead = time.Time{}
 		return
 	}
--- a/entry/process/agatemeter/meter.go
+++ b/entry/process/agatemeter/meter.go
@@ -56,6 +56,7 @@
 	batchTime     prometheus.Histogram
 	flows         prometheus.Gauge
 	version       prometheus.Gauge
+	era           prometheus.Gauge
 	revision      prometheus.Gauge
 	confirmed     prometheus.Gauge
 	servers       *prometheus.GaugeVec
@@ -77,6 +78,7 @@
 		batchTime:     histogram("batch_seconds", "Time that a batch of packets took.", 0.00001, 16),
 		flows:         gauge("flows", "Flows that are followed."),
 		version:       gauge("config_version", "Version of the configuration in force."),
+		era:           gauge("catalog_era", "Era of the store that the revision belongs to."),
 		revision:      gauge("catalog_revision", "Revision of the store up to which nothing is missing."),
 		confirmed:     gauge("confirmed_timestamp_seconds", "Time at which the catalog was last known to be the newest."),
 		servers:       gauges("servers", "Backend servers, by state.", "state"),
@@ -87,7 +89,7 @@
 		m.verdicts[reason] = verdicts.WithLabelValues(string(reason))
 	}
 	m.registry.MustRegister(
-		verdicts, m.malformed, m.losses, m.reads, m.readTime, m.batchTime, m.flows, m.version, m.revision,
+		verdicts, m.malformed, m.losses, m.reads, m.readTime, m.batchTime, m.flows, m.version, m.era, m.revision,
 		m.confirmed, m.servers, m.peers, m.startDuration,
 		counterFunc("log_dropped_total", "Log lines that were dropped.", dropped),
 	)
@@ -145,10 +147,11 @@
 	m.readTime.Observe(duration.Seconds())
 }
 
-// SetCatalog records the version and revision of the catalog in force, and its
+// SetCatalog records the version, era and revision of the catalog in force, and its
 // servers by state.
 func (m *Meter) SetCatalog(catalog *agatecatalog.Catalog) {
 	m.version.Set(float64(catalog.Version()))
+	m.era.Set(float64(catalog.Position().Era))
 	m.revision.Set(float64(catalog.Revision()))
 	m.servers.Reset()
 	counts := make(map[agateinstance.State]int)
--- a/entry/request/agateexplain/explain.go
+++ b/entry/request/agateexplain/explain.go
@@ -84,7 +84,8 @@
 		"missed", v.Evidence.UnansweredFlows,
 		"heard", v.Evidence.SinceAnswer,
 		"version", v.Evidence.Version,
-		"revision", v.Evidence.Revision,
+		"era", v.Evidence.Position.Era,
+		"revision", v.Evidence.Position.Revision,
 		"age", v.Evidence.Age,
 	)
 }
