Number tickets across restores of the platform

The product's own interface had the fault of the store: tickets are ordered by a number that the platform gives out again after it was restored from a copy. The list of VMs had it in its version.

Cause: a number without its era, as in the store's revisions. Here the protocol is ours, so the platform says which tickets it kept: `era`, and for each era the number of the last ticket kept from before. The client makes of each number a serial, era and number packed into one integer. Everything behind it compares, merges, logs and seals that integer as before, so no other place can confuse two tickets of one number, and the first era looks as it did. A read names its era, and the answer starts at the last ticket that is still there: no full listing.

--- a/bench/agateplatform/platform.go
+++ b/bench/agateplatform/platform.go
@@ -6,6 +6,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -83,8 +84,8 @@
 	log  Log
 	vms  agatevmlist.List
 	mode Mode
-	// era rises by one with each restore.
-	era uint32
+	// bases holds the number of the last ticket kept by each restore.
+	bases []uint64
 	// ceiling is the newest ticket that is shown.
 	ceiling uint64
 	// changed is closed and replaced at each change.
@@ -101,7 +102,6 @@
 		limiter: rate.NewLimiter(rate.Limit(s.Rate), readBurst),
 		lag:     s.Lag,
 		vms:     agatevmlist.List{Version: 1, VMs: s.VMs},
-		era:     1,
 		ceiling: math.MaxUint64,
 		changed: make(chan struct{}),
 	}
@@ -175,7 +175,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.log.Truncate(p.log.Head() - min(r.Back, p.log.Head()))
-	p.era++
+	p.bases = append(p.bases, p.log.Head())
+	p.vms.Version -= min(r.Back, p.vms.Version-1)
 	p.wake()
 	return agatecontrol.None{}, nil
 }
@@ -254,25 +255,32 @@
 	}
 }
 
-// tickets returns the batch behind the number that was asked for, or from the first
-// ticket on if that number is of another era; p.mu is held.
+// era returns the number of restores plus 1; p.mu is held.
+func (p *Platform) era() uint32 { return uint32(len(p.bases)) + 1 }
+
+// tickets returns the batch behind the number that was asked for. Of an earlier era, only
+// tickets up to the bases of the later ones are still there; p.mu is held.
 func (p *Platform) tickets(q query) (any, bool) {
 	after := q.after
-	if q.era != 0 && q.era != p.era {
-		after = 0
+	for era := max(q.era, 1); era < p.era(); era++ {
+		after = min(after, p.bases[era-1])
 	}
 	batch := p.log.Batch(after, p.ceiling, maxBody)
-	batch.Era = p.era
-	return batch, batch.Upto > after || after != q.after
+	batch.Era, batch.Bases = p.era(), slices.Clone(p.bases)
+	return batch, batch.Upto > after
 }
 
 // list returns the list of VMs; p.mu is held.
-func (p *Platform) list(q query) (any, bool) { return p.vms, p.vms.Version > q.after }
+func (p *Platform) list(q query) (any, bool) {
+	list := p.vms
+	list.Era = p.era()
+	return list, list.Version > q.after || max(q.era, 1) < list.Era
+}
 
 // query is what a read asks for.
 type query struct {
 	after uint64
-	// era is that of after; 0 if the reader does not know it.
+	// era is that of after; 0 for the first.
 	era  uint32
 	wait time.Duration
 }
--- a/bench/agateplatform/platform_test.go
+++ b/bench/agateplatform/platform_test.go
@@ -85,8 +85,8 @@
 	}
 }
 
-// TestRestore checks that a restored platform names the next era, gives numbers out
-// again, and answers a read from another era with everything.
+// TestRestore checks that a restored platform names the next era and the last ticket kept,
+// gives numbers out again, and answers a read from another era from that ticket on.
 func TestRestore(t *testing.T) {
 	url, mux := start(t, 1000)
 	for range 3 {
@@ -97,9 +97,9 @@
 	for _, c := range []struct {
 		query       string
 		after, upto uint64
-	}{{"after=3&era=1", 0, 2}, {"after=1&era=2", 1, 2}, {"after=0", 0, 2}} {
+	}{{"after=3&era=1", 1, 2}, {"after=1&era=2", 1, 2}, {"after=0", 0, 2}} {
 		batch, _ := get[agatebatch.Batch](t, url+"/v1/tickets?"+c.query)
-		if batch.Era != 2 || batch.After != c.after || batch.Upto != c.upto {
+		if batch.Era != 2 || len(batch.Bases) != 1 || batch.Bases[0] != 1 || batch.After != c.after || batch.Upto != c.upto {
 			t.Errorf("%s: era %d, after %d up to %d, want era 2, after %d up to %d", c.query, batch.Era, batch.After, batch.Upto, c.after, c.upto)
 		}
 	}
--- a/core/process/agatenode/fleet_test.go
+++ b/core/process/agatenode/fleet_test.go
@@ -11,6 +11,7 @@
 	"agatereach/core/process/agatenode"
 	"agatereach/core/process/agatepeers"
 	"agatereach/core/version/agatebatch"
+	"agatereach/core/version/agateserial"
 	"agatereach/core/version/agateteam"
 	"agatereach/core/version/agateticket"
 	"agatereach/core/version/agatevm"
@@ -55,8 +56,8 @@
 	parted map[[2]uint16]bool
 	// tickets is what the platform serves, listed the VMs of its list.
 	tickets []agateticket.Ticket
-	// era rises by one with each restore of the platform.
-	era    uint32
+	// bases holds the numbers of the last tickets that restores of the platform kept.
+	bases  []uint64
 	listed agatevmlist.List
 	down   bool
 	// hurried says that the platform holds no reads.
@@ -73,7 +74,7 @@
 func newFleet(centres, entries int, fail func(string, ...any)) *fleet {
 	f := &fleet{
 		now: time.Unix(1700000000, 0), boots: map[uint64]*place{}, links: map[[2]uint64]bool{},
-		parted: map[[2]uint16]bool{}, fail: fail, era: 1,
+		parted: map[[2]uint16]bool{}, fail: fail,
 	}
 	for i := range centres * entries {
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(i >> 8), byte(i), 1}), 7001)
@@ -286,7 +287,7 @@
 	if p.refused(f) {
 		return
 	}
-	if r := p.tickets.read; r != nil && (unreachable || f.hurried || r.After < uint64(len(f.tickets)) || !f.now.Before(p.tickets.until)) {
+	if r := p.tickets.read; r != nil && (unreachable || f.hurried || r.After < f.head() || !f.now.Before(p.tickets.until)) {
 		p.tickets.read = nil
 		if unreachable {
 			p.node.TicketsFailed(f.now, r.ID, 0)
@@ -305,20 +306,34 @@
 	}
 }
 
-// batch returns the tickets after a number, all of them after one that has not been
-// given out in this era.
-func (f *fleet) batch(after uint64) *agatebatch.Batch {
-	head := uint64(len(f.tickets))
-	if after > head {
-		after = 0
+// batch returns the tickets after a packed serial, as the platform's client does.
+func (f *fleet) batch(packed uint64) *agatebatch.Batch {
+	batch, err := f.published(packed).WithSerials()
+	if err != nil {
+		f.fail("batch: %v", err)
 	}
-	return &agatebatch.Batch{Era: f.era, After: after, Upto: head, Head: head, Tickets: f.tickets[after:]}
+	return batch
 }
 
+// published returns what the platform answers to a read after a packed serial.
+func (f *fleet) published(packed uint64) *agatebatch.Batch {
+	serial, head := agateserial.Unpack(packed), uint64(len(f.tickets))
+	after := min(serial.Number, head)
+	for _, base := range f.bases[min(int(serial.Era)-1, len(f.bases)):] {
+		after = min(after, base)
+	}
+	return &agatebatch.Batch{
+		Era: uint32(len(f.bases)) + 1, Bases: f.bases, After: after, Upto: head, Head: head, Tickets: f.tickets[after:],
+	}
+}
+
+// head returns the packed serial of the platform's newest ticket.
+func (f *fleet) head() uint64 { return f.published(0).Serial(uint64(len(f.tickets))).Pack() }
+
 // restore makes the platform come back from a copy with the tickets up to head.
 func (f *fleet) restore(head int) {
 	f.tickets = slices.Clone(f.tickets[:head])
-	f.era++
+	f.bases = append(slices.Clone(f.bases), uint64(head))
 }
 
 // live returns the places that have a process.
@@ -329,7 +344,7 @@
 // converged says what is missing until every process holds all tickets and
 // knows every other one, empty for nothing.
 func (f *fleet) converged() string {
-	head := uint64(len(f.tickets))
+	head := f.head()
 	for _, p := range f.live() {
 		if upto := p.node.State().Upto(); upto != head {
 			return fmt.Sprintf("%s holds tickets up to %d, want %d", p.vm.ID, upto, head)
--- a/core/process/agatenode/node_test.go
+++ b/core/process/agatenode/node_test.go
@@ -11,6 +11,7 @@
 	"agatereach/core/process/agatepeers"
 	"agatereach/core/version/agatebatch"
 	"agatereach/core/version/agatedigest"
+	"agatereach/core/version/agateserial"
 )
 
 func TestColdStart(t *testing.T) {
@@ -276,7 +277,7 @@
 		for range rapid.IntRange(1, 12).Draw(t, "faults") {
 			p := rapid.SampledFrom(f.places).Draw(t, "place")
 			a := rapid.Uint16Range(1, 3).Draw(t, "centre")
-			switch rapid.SampledFrom([]string{"ticket", "kill", "start", "part", "heal", "down", "up", "cut", "pause", "wake"}).Draw(t, "fault") {
+			switch rapid.SampledFrom([]string{"ticket", "kill", "start", "part", "heal", "down", "up", "cut", "pause", "wake", "restore"}).Draw(t, "fault") {
 			case "ticket":
 				f.publish(rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "team"))
 			case "kill":
@@ -301,6 +302,8 @@
 				p.paused = true
 			case "wake":
 				p.paused = false
+			case "restore":
+				f.restore(rapid.IntRange(1, len(f.tickets)).Draw(t, "kept"))
 			}
 			f.run(time.Duration(rapid.IntRange(0, 8000).Draw(t, "ms")) * time.Millisecond)
 		}
@@ -314,6 +317,12 @@
 		for a := range uint16(3) {
 			f.part(a+1, (a+1)%3+1, false)
 		}
+		if len(f.bases) > 0 {
+			// Tickets that were lost are published again.
+			for _, name := range []string{"first", "x", "y", "z"} {
+				f.publish(name)
+			}
+		}
 		missing := f.converged()
 		for range 90 {
 			if missing == "" {
@@ -392,7 +401,8 @@
 }
 
 // TestRestoredPlatformReusesNumbers guards against tickets that are never in force since
-// their numbers were in use before the platform was restored from a copy.
+// their numbers were in use before the platform was restored from a copy, and against the
+// loss of those that the copy lacks.
 func TestRestoredPlatformReusesNumbers(t *testing.T) {
 	f := newFleet(3, 3, t.Fatalf)
 	for _, name := range []string{"a", "b", "c", "d"} {
@@ -402,10 +412,17 @@
 	f.restore(2)
 	f.run(5 * time.Second)
 	f.publish("e")
-	f.run(5 * time.Second)
+	f.kill(f.places[0])
+	f.start(f.places[0])
+	f.run(15 * time.Second)
 	for _, p := range f.places {
-		if _, found := p.node.State().Teams().Get("e"); !found {
-			t.Errorf("%s does not hold the ticket that was published after the restore", p.vm.ID)
+		for _, name := range []string{"a", "b", "c", "d", "e"} {
+			if _, found := p.node.State().Teams().Get(name); !found {
+				t.Errorf("%s does not hold ticket %q", p.vm.ID, name)
+			}
+		}
+		if upto := agateserial.Unpack(p.node.State().Upto()).String(); upto != "2/3" {
+			t.Errorf("%s holds tickets up to %s, want 2/3", p.vm.ID, upto)
 		}
 	}
 }
--- a/core/version/agateaudit/audit.go
+++ b/core/version/agateaudit/audit.go
@@ -6,6 +6,7 @@
 
 	"agatereach/core/process/agateplacement"
 	"agatereach/core/version/agatebatch"
+	"agatereach/core/version/agateserial"
 	"agatereach/core/version/agateserver"
 	"agatereach/core/version/agateservice"
 	"agatereach/core/version/agatestate"
@@ -82,7 +83,8 @@
 
 func (a *audit) checkNumber() {
 	if a.ticket.Number <= a.former.Head() {
-		a.add(Fault, "ticket", "number %d is not above %d, the newest published", a.ticket.Number, a.former.Head())
+		a.add(Fault, "ticket", "number %s is not above %s, the newest published",
+			agateserial.Unpack(a.ticket.Number), agateserial.Unpack(a.former.Head()))
 	}
 }
 
--- a/core/version/agatebatch/batch.go
+++ b/core/version/agatebatch/batch.go
@@ -8,6 +8,7 @@
 
 	"agatereach/core/request/agatecodec"
 	"agatereach/core/version/agaterefusal"
+	"agatereach/core/version/agateserial"
 	"agatereach/core/version/agateticket"
 )
 
@@ -29,9 +30,12 @@
 // object has been set anew by a later one up to Upto may be left out, and so
 // may such objects of a ticket.
 type Batch struct {
-	// Era is the era of the platform, which rises each time the platform has lost
-	// tickets that it had accepted; 0 if it is not known.
-	Era uint32 `json:"era,omitempty"`
+	// Era is the platform's era, which rises each time the platform has lost tickets that
+	// it had accepted; 0 counts as 1. Bases holds, for each era from the second on, the
+	// number of the last ticket that was kept from the era before. Both are empty in
+	// batches between entries, whose numbers are packed serials.
+	Era   uint32   `json:"era,omitempty"`
+	Bases []uint64 `json:"bases,omitempty"`
 	// After is the number behind which the batch starts.
 	After uint64 `json:"after"`
 	// Upto is the number of the last ticket that the batch covers, not less
@@ -63,6 +67,47 @@
 	return nil
 }
 
+// EraError reports a batch whose era and bases contradict each other or its numbers.
+type EraError struct {
+	// Era is the era of the batch, and Bases the number of its bases.
+	Era   uint32
+	Bases int
+}
+
+// Error names both.
+func (e *EraError) Error() string {
+	return fmt.Sprintf("batch of era %d has %d bases", e.Era, e.Bases)
+}
+
+// Serial returns the serial of a number of the platform, which is of the last era whose
+// base it is above.
+func (b *Batch) Serial(number uint64) agateserial.Serial {
+	for era := len(b.Bases); era > 0; era-- {
+		if number > b.Bases[era-1] {
+			return agateserial.Serial{Era: uint32(era) + 1, Number: number}
+		}
+	}
+	return agateserial.Serial{Era: 1, Number: number}
+}
+
+// WithSerials returns a batch of the platform with packed serials in place of its numbers.
+// The error is an *EraError.
+func (b *Batch) WithSerials() (*Batch, error) {
+	if len(b.Bases) != int(max(b.Era, 1))-1 || !(agateserial.Serial{Era: b.Era, Number: b.Head}).Valid() {
+		return nil, &EraError{Era: b.Era, Bases: len(b.Bases)}
+	}
+	pack := func(number uint64) uint64 { return b.Serial(number).Pack() }
+	next := &Batch{After: pack(b.After), Upto: pack(b.Upto), Head: pack(b.Head), Tickets: make([]agateticket.Ticket, len(b.Tickets))}
+	for i, ticket := range b.Tickets {
+		next.Tickets[i] = ticket.WithNumber(pack(ticket.Number))
+	}
+	for _, refusal := range b.Refused {
+		refusal.Ticket = pack(refusal.Ticket)
+		next.Refused = append(next.Refused, refusal)
+	}
+	return next, nil
+}
+
 // plain has Batch's fields without its decoders.
 type plain Batch
 
--- a/core/version/agatestate/state.go
+++ b/core/version/agatestate/state.go
@@ -7,6 +7,7 @@
 	"agatereach/core/version/agatecentre"
 	"agatereach/core/version/agatekeyring"
 	"agatereach/core/version/agateruleset"
+	"agatereach/core/version/agateserial"
 	"agatereach/core/version/agateserver"
 	"agatereach/core/version/agateservice"
 	"agatereach/core/version/agatetable"
@@ -28,7 +29,7 @@
 type State struct {
 	// centre is the number of the data centre whose servers are held in full.
 	centre uint16
-	// upto is the number up to which every ticket has been merged.
+	// upto is the packed serial up to which every ticket has been merged.
 	upto uint64
 	// head is the newest ticket number heard of; not less than upto.
 	head uint64
@@ -57,7 +58,7 @@
 func (s *State) Head() uint64 { return s.head }
 
 // Lag returns how many ticket numbers the state is behind the newest heard of.
-func (s *State) Lag() uint64 { return s.head - s.upto }
+func (s *State) Lag() uint64 { return agateserial.Distance(s.head, s.upto) }
 
 // Digest returns a hash of all held objects and their ticket numbers, whatever
 // the data centre. States of one data centre are equal when their digests are.
--- a/ctl/process/agatecommand/check.go
+++ b/ctl/process/agatecommand/check.go
@@ -9,6 +9,7 @@
 	"agatereach/core/process/agatesettings"
 	"agatereach/core/version/agateaudit"
 	"agatereach/core/version/agatebatch"
+	"agatereach/core/version/agateserial"
 	"agatereach/core/version/agateticket"
 )
 
@@ -35,7 +36,13 @@
 	if err != nil {
 		return err
 	}
-	findings, err := agateaudit.Audit(published, ticket)
+	former, err := published.WithSerials()
+	if err != nil {
+		return &FindingError{Text: err.Error()}
+	}
+	serial := agateserial.Serial{Era: published.Era, Number: ticket.Number}
+	next := ticket.WithNumber(serial.Pack())
+	findings, err := agateaudit.Audit(former, &next)
 	if err != nil {
 		return &FindingError{Text: err.Error()}
 	}
@@ -51,7 +58,7 @@
 		return err
 	}
 	if faults > 0 {
-		return &FindingError{Text: fmt.Sprintf("ticket %d has %d faults", ticket.Number, faults)}
+		return &FindingError{Text: fmt.Sprintf("ticket %s has %d faults", serial, faults)}
 	}
 	return nil
 }
--- a/ctl/process/agatecommand/status.go
+++ b/ctl/process/agatecommand/status.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"agatereach/core/version/agateserial"
 	"agatereach/ctl/request/agateclient"
 )
 
@@ -93,7 +94,7 @@
 	if err != nil {
 		return err
 	}
-	fleet.Head = published.Head
+	fleet.Head = published.Serial(published.Head).Pack()
 	return nil
 }
 
@@ -105,7 +106,7 @@
 	}
 	for i := range f.Entries {
 		if f.Entries[i].Error == "" {
-			f.Entries[i].Lag = f.Head - f.Entries[i].Upto
+			f.Entries[i].Lag = agateserial.Distance(f.Head, f.Entries[i].Upto)
 		}
 	}
 }
@@ -121,14 +122,14 @@
 	if behind == 0 {
 		return nil
 	}
-	return &FindingError{Text: fmt.Sprintf("%d of %d entries are stale or behind ticket %d", behind, len(f.Entries), f.Head)}
+	return &FindingError{Text: fmt.Sprintf("%d of %d entries are stale or behind ticket %s", behind, len(f.Entries), agateserial.Unpack(f.Head))}
 }
 
 func (s *status) print(fleet *fleetStatus) error {
 	rows := make([][]string, 0, len(fleet.Entries))
 	for _, e := range fleet.Entries {
 		rows = append(rows, []string{
-			e.Entry, e.VM, strconv.Itoa(int(e.Centre)), strconv.FormatUint(e.Upto, 10),
+			e.Entry, e.VM, strconv.Itoa(int(e.Centre)), agateserial.Unpack(e.Upto).String(),
 			strconv.FormatUint(e.Lag, 10), e.condition(),
 		})
 	}
--- a/ctl/request/agateclient/client.go
+++ b/ctl/request/agateclient/client.go
@@ -145,16 +145,25 @@
 	return nil
 }
 
-// Published returns all tickets in force at the platform as one batch. The
-// errors are those of Decode.
+// Published returns all tickets in force at the platform as one batch, with the platform's
+// numbers. It begins anew if the platform is restored meanwhile. The errors are those of
+// Decode.
 func (c *Client) Published(ctx context.Context, address string) (*agatebatch.Batch, error) {
 	all := new(agatebatch.Batch)
 	for range maxPages {
 		page := new(agatebatch.Batch)
 		query := url.Values{"after": {strconv.FormatUint(all.Upto, 10)}}
+		if all.Era > 0 {
+			query.Set("era", strconv.FormatUint(uint64(all.Era), 10))
+		}
 		if err := c.Decode(ctx, address, "/v1/tickets?"+query.Encode(), page); err != nil {
 			return nil, err
 		}
+		if page.Era != all.Era && all.Upto > 0 {
+			all = new(agatebatch.Batch)
+			continue
+		}
+		all.Era, all.Bases = page.Era, page.Bases
 		all.Tickets = append(all.Tickets, page.Tickets...)
 		all.Upto = max(all.Upto, page.Upto)
 		all.Head = max(all.Head, page.Head)
--- a/entry/process/agateentry/gauges.go
+++ b/entry/process/agateentry/gauges.go
@@ -2,6 +2,7 @@
 
 import (
 	"agatereach/core/process/agatedispatch"
+	"agatereach/core/version/agateserial"
 	"agatereach/entry/process/agatequeue"
 )
 
@@ -14,8 +15,11 @@
 }
 
 func (e *Entry) addTicketGauges() {
-	e.metrics.Gauge("ticket_upto", "Number of the ticket in force.", nil, func() float64 { return float64(e.View().State().Upto()) })
-	e.metrics.Gauge("ticket_head", "Number of the newest ticket heard of.", nil, func() float64 { return float64(e.fleet.Status().Head) })
+	upto := func() agateserial.Serial { return agateserial.Unpack(e.View().State().Upto()) }
+	head := func() agateserial.Serial { return agateserial.Unpack(e.fleet.Status().Head) }
+	e.metrics.Gauge("ticket_era", "Era of the platform that the ticket in force is of.", nil, func() float64 { return float64(upto().Era) })
+	e.metrics.Gauge("ticket_upto", "Number of the ticket in force.", nil, func() float64 { return float64(upto().Number) })
+	e.metrics.Gauge("ticket_head", "Number of the newest ticket heard of.", nil, func() float64 { return float64(head().Number) })
 	e.metrics.Gauge("ticket_lag", "Number of tickets that are missing.", nil, func() float64 { return float64(e.fleet.Status().Lag) })
 	e.metrics.Gauge("stale", "1 while no flows are opened for want of a fresh view.", nil, func() float64 { return number(e.fleet.Stale()) })
 	e.metrics.Gauge("draining", "1 while a planned stop is under way.", nil, func() float64 { return number(e.draining.Load()) })
--- a/entry/process/agatefleet/loop.go
+++ b/entry/process/agatefleet/loop.go
@@ -7,6 +7,7 @@
 	"agatereach/core/process/agatemessage"
 	"agatereach/core/process/agatenode"
 	"agatereach/core/version/agatebatch"
+	"agatereach/core/version/agateserial"
 	"agatereach/core/version/agatestate"
 	"agatereach/core/version/agateview"
 	"agatereach/core/version/agatevmlist"
@@ -205,7 +206,7 @@
 	state := l.node.State()
 	stale := l.node.Stale(now)
 	if stale != l.stale.Swap(stale) {
-		l.log.Info("staleness changed", "stale", stale, "upto", state.Upto(), "head", state.Head())
+		l.log.Info("staleness changed", "stale", stale, "upto", serial(state.Upto()), "head", serial(state.Head()))
 	}
 	changed := false
 	if l.built == nil || l.newer(state) && !now.Before(l.viewAt) {
@@ -213,7 +214,7 @@
 		l.built = state
 		l.delayView(time.Since(now))
 		changed = true
-		l.log.Info("tickets in force", "upto", state.Upto(), "head", state.Head())
+		l.log.Info("tickets in force", "upto", serial(state.Upto()), "head", serial(state.Head()))
 	}
 	if l.node.PeersChanged() && !now.Before(l.peersAt) {
 		l.peers.Store(l.node.Peers(now))
@@ -227,6 +228,9 @@
 	l.setStatus(now)
 }
 
+// serial returns a packed serial as it is written in logs.
+func serial(packed uint64) string { return agateserial.Unpack(packed).String() }
+
 // newer reports whether the view of the state would differ from the newest one.
 func (l *loop) newer(state *agatestate.State) bool {
 	return state.Upto() != l.built.Upto() || state.Digest() != l.built.Digest()
--- a/entry/process/agatefleet/status.go
+++ b/entry/process/agatefleet/status.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"agatereach/core/version/agaterefusal"
+	"agatereach/core/version/agateserial"
 	"agatereach/entry/process/agatelink"
 )
 
@@ -51,7 +52,7 @@
 		Reads: l.source.Reads(), Links: l.hub.Stats(), Dropped: l.handovers.Dropped(),
 		Refused: l.node.Refused(),
 	}
-	s.Lag = s.Head - s.Upto
+	s.Lag = agateserial.Distance(s.Head, s.Upto)
 	s.Members, s.VMs = l.node.Counts()
 	l.status.Store(s)
 }
--- a/entry/process/agatesource/decode.go
+++ b/entry/process/agatesource/decode.go
@@ -10,25 +10,31 @@
 
 // rawBatch is a batch whose tickets have not been decoded.
 type rawBatch struct {
+	Era     uint32            `json:"era"`
+	Bases   []uint64          `json:"bases"`
 	After   uint64            `json:"after"`
 	Upto    uint64            `json:"upto"`
 	Head    uint64            `json:"head"`
 	Tickets []json.RawMessage `json:"tickets"`
 }
 
-// decodeBatch decodes a batch and sets aside the tickets that fail their checks.
+// decodeBatch decodes a batch, sets aside the tickets that fail their checks and packs the
+// platform's numbers.
 func decodeBatch(body []byte) (*agatebatch.Batch, error) {
 	var raw rawBatch
 	if err := json.Unmarshal(body, &raw); err != nil {
 		return nil, err
 	}
-	batch := &agatebatch.Batch{After: raw.After, Upto: raw.Upto, Head: raw.Head}
+	batch := &agatebatch.Batch{Era: raw.Era, Bases: raw.Bases, After: raw.After, Upto: raw.Upto, Head: raw.Head}
 	for _, item := range raw.Tickets {
 		if err := appendTicket(batch, item); err != nil {
 			batch.Refused = append(batch.Refused, agaterefusal.New(number(item), err))
 		}
 	}
-	return batch, batch.Check()
+	if err := batch.Check(); err != nil {
+		return nil, err
+	}
+	return batch.WithSerials()
 }
 
 // number returns the number of a ticket that failed its checks, 0 if it has none.
--- a/entry/process/agatesource/source.go
+++ b/entry/process/agatesource/source.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"agatereach/core/version/agatebatch"
+	"agatereach/core/version/agateserial"
 	"agatereach/core/version/agatevmlist"
 )
 
@@ -73,7 +74,7 @@
 // Reads returns the number of calls made to the platform.
 func (s *Source) Reads() uint64 { return s.reads.Load() }
 
-// Tickets returns the tickets after the given number; those that failed their
+// Tickets returns the tickets after the given packed serial; those that failed their
 // checks are in the batch as refusals. The platform holds the call up to wait until there
 // are any. The errors are *LimitError, *DownError, *SizeError and *BodyError.
 func (s *Source) Tickets(ctx context.Context, after uint64, wait time.Duration) (*agatebatch.Batch, error) {
@@ -88,8 +89,8 @@
 	return batch, nil
 }
 
-// VMs returns the list of VMs if its version is above the given one, else the
-// platform holds the call up to wait. The errors are those of Tickets.
+// VMs returns the list of VMs if its version is above the given one, both packed serials,
+// else the platform holds the call up to wait. The errors are those of Tickets.
 func (s *Source) VMs(ctx context.Context, version uint64, wait time.Duration) (*agatevmlist.List, error) {
 	body, err := s.read(ctx, "/v1/vms", version, wait, maxVMs)
 	if err != nil {
@@ -99,7 +100,7 @@
 	if err := json.Unmarshal(body, list); err != nil {
 		return nil, &BodyError{What: "VM list", Err: err}
 	}
-	return list, nil
+	return list.WithSerial(), nil
 }
 
 // read makes one call and returns the body. A failed call moves on to the next
@@ -143,7 +144,11 @@
 }
 
 func target(address, path string, after uint64, wait time.Duration) string {
-	query := url.Values{"after": {strconv.FormatUint(after, 10)}}
+	serial := agateserial.Unpack(after)
+	query := url.Values{"after": {strconv.FormatUint(serial.Number, 10)}}
+	if after > 0 {
+		query.Set("era", strconv.FormatUint(uint64(serial.Era), 10))
+	}
 	if wait > 0 {
 		query.Set("wait", strconv.Itoa(int(wait/time.Second)))
 	}
--- a/entry/process/agatesource/source_test.go
+++ b/entry/process/agatesource/source_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"agatereach/core/version/agateserial"
 )
 
 // serve returns a source of a platform that answers every call with handler.
@@ -111,3 +113,41 @@
 		t.Errorf("reads = %d, want 2", source.Reads())
 	}
 }
+
+// TestRestoredPlatform guards against reading a restored platform from a number of the era
+// before, and against taking a refused ticket, a kept one or a list of VMs for one of
+// another era.
+func TestRestoredPlatform(t *testing.T) {
+	answers := map[string]string{
+		"/v1/tickets?after=23&era=1": `{"era":2,"bases":[21],"after":21,"upto":23,"head":23,"tickets":[
+			{"number":22,"teams":[{"name":"maps","share":1}]},{"number":23,"teams":[{"name":"maps","share":0}]}]}`,
+		"/v1/vms?after=9&era=1": `{"era":2,"version":7,"vms":[]}`,
+	}
+	source := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		answer, found := answers[r.URL.String()]
+		if !found {
+			t.Errorf("unexpected call %s", r.URL)
+		}
+		_, _ = w.Write([]byte(answer))
+	})
+	batch, err := source.Tickets(t.Context(), 23, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	list, err := source.VMs(t.Context(), 9, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name   string
+		packed uint64
+		want   string
+	}{
+		{"after", batch.After, "21"}, {"upto", batch.Upto, "2/23"}, {"ticket", batch.Tickets[0].Number, "2/22"},
+		{"refused ticket", batch.Refused[0].Ticket, "2/23"}, {"list", list.Version, "2/7"},
+	} {
+		if serial := agateserial.Unpack(c.packed).String(); serial != c.want {
+			t.Errorf("%s is %s, want %s", c.name, serial, c.want)
+		}
+	}
+}
