--- a/entry/process/agatesource/source_test.go
+++ b/entry/process/agatesource/source_test.go
@@ -143,8 +143,11 @@
 		packed uint64
 		want   string
 	}{
-		{"after", batch.After, "21"}, {"upto", batch.Upto, "2/23"}, {"ticket", batch.Tickets[0].Number, "2/22"},
-		{"refused ticket", batch.Refused[0].Ticket, "2/23"}, {"list", list.Version, "2/7"},
+		{"after", batch.After, "21"},
+		{"upto", batch.Upto, "2/23"},
+		{"ticket", batch.Tickets[0].Number, "2/22"},
+		{"refused ticket", batch.Refused[0].Ticket, "2/23"},
+		{"list", list.Version, "2/7"},
 	} {
 		if serial := agateserial.Unpack(c.packed).String(); serial != c.want {
 			t.Errorf("%s is %s, want %s", c.name, serial, c.want)
