bench: a scenario in which the platform is restored from a copy

Rules that tickets forbid customers by are numbered by themselves, since the platform gives ticket numbers out again.

--- a/bench/agateharness/events.go
+++ b/bench/agateharness/events.go
@@ -62,6 +62,8 @@
 		return r.applyMislead(ctx, e)
 	case agatescenario.Ticket:
 		return r.deny(ctx)
+	case agatescenario.Restore:
+		return r.restore(ctx, e)
 	}
 	return nil
 }
@@ -256,12 +258,20 @@
 	return accepted.At, nil
 }
 
+// restore makes the platform lose its newest tickets. The first one is kept.
+func (r *runner) restore(ctx context.Context, e *agatescenario.Event) error {
+	r.publishing.Lock()
+	defer r.publishing.Unlock()
+	return r.platform.Call(ctx, "/restore", agateplatform.Restore{Back: min(uint64(e.Back), r.head-1)}, &r.head)
+}
+
 // deny publishes a ticket that forbids one more customer, and has the callers
 // probe when each entry applies it.
 func (r *runner) deny(ctx context.Context) error {
 	r.publishing.Lock()
 	defer r.publishing.Unlock()
-	number := r.head + 1
+	// Not the ticket's number, which the platform may give out twice.
+	number := uint64(len(r.denied)) + 1
 	rules := agateruleset.Ruleset{Service: r.probeService(), Default: agateruleset.Allow}
 	r.denied = append(r.denied, number)
 	for _, ticket := range r.denied {
--- a/bench/agateplatform/platform.go
+++ b/bench/agateplatform/platform.go
@@ -171,14 +171,15 @@
 	return agatecontrol.None{}, nil
 }
 
-func (p *Platform) restore(r Restore) (agatecontrol.None, error) {
+// restore restores the copy and returns the number of its last ticket.
+func (p *Platform) restore(r Restore) (uint64, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.log.Truncate(p.log.Head() - min(r.Back, p.log.Head()))
 	p.bases = append(p.bases, p.log.Head())
 	p.vms.Version -= min(r.Back, p.vms.Version-1)
 	p.wake()
-	return agatecontrol.None{}, nil
+	return p.log.Head(), nil
 }
 
 func (p *Platform) getCounts(agatecontrol.None) (Counts, error) {
--- a/bench/agatescenario/check.go
+++ b/bench/agatescenario/check.go
@@ -125,7 +125,7 @@
 		l.need(e.Platform || len(e.Between) == 2, at+": between", "must name two data centres")
 		l.need(!e.Platform || len(e.Centres) > 0, at+": centres", "is missing")
 	case Heal, Fresh, Down:
-	case Stale:
+	case Stale, Restore:
 		l.need(e.Back >= 0, at+": back", "must not be negative")
 	case Loss, Dup, Reorder:
 		l.need(e.Share >= 0 && e.Share <= 1, at+": share", "must be 0 to 1")
--- a/bench/agatescenario/event.go
+++ b/bench/agatescenario/event.go
@@ -29,6 +29,8 @@
 	Heal Kind = "heal"
 	// Stale makes the platform serve old values: those of now, less Back tickets.
 	Stale Kind = "stale"
+	// Restore makes the platform come back from a copy that lacks the newest Back tickets.
+	Restore Kind = "restore"
 	// Down makes the platform refuse all reads.
 	Down Kind = "down"
 	// Fresh ends Stale and Down.
