--- a/entry/process/agatedirect/direct_test.go
+++ b/entry/process/agatedirect/direct_test.go
@@ -98,6 +98,23 @@
 	})
 }
 
+// TestRestoredStore guards against an entry that waits for a revision of before a restore,
+// and against one that follows answers from before it.
+func TestRestoredStore(t *testing.T) {
+	source := newFakeStore(listenUDP(t))
+	source.state.Era = 1
+	e := startEntry(t, "vm-1", source, 1, nil)
+	waitFor(t, "the entry to be ready", e.ready)
+	source.update(func(s *fakeStore) { s.state.Era, s.state.Revision = 2, 3 })
+	waitFor(t, "the restore", func() bool { d := e.dump(); return d.Era == 2 && d.Revision == 3 })
+	source.update(func(s *fakeStore) { s.state.Config, s.state.Revision = config(2), 4 })
+	waitFor(t, "a change under a lower revision than before", func() bool { return e.dump().Version == 2 })
+	source.update(func(s *fakeStore) { s.state.Era, s.state.Revision = 1, 9 })
+	waitFor(t, "the logged answer", func() bool { return strings.Contains(e.log.text(), "answer at 1/9, the source was at 2/4 before") })
+	source.update(func(s *fakeStore) { s.state.Era, s.state.Config, s.state.Revision = 2, config(3), 5 })
+	waitFor(t, "a change after that", func() bool { return e.dump().Version == 3 })
+}
+
 // TestStoreReadPanics checks that an entry whose reads of the store panic keeps
 // serving with the catalog it has, logs the cause and reads the store again.
 func TestStoreReadPanics(t *testing.T) {
--- a/entry/process/agatedirect/fixture_test.go
+++ b/entry/process/agatedirect/fixture_test.go
@@ -132,7 +132,7 @@
 	case <-ctx.Done():
 		return agatechange.Changes{}, ctx.Err()
 	case <-timer.C:
-		return agatechange.Changes{Revision: c.Revision}, nil
+		return agatechange.Changes{Era: c.Era, Revision: c.Revision}, nil
 	case <-changed:
 		c, _, err = s.snapshot()
 		return c, err
