agatemerge: keep a gone server for its retention time though it is listed again

What callers would see: a flow of a server that is gone finds no server before the lifetime of a flow is over, and the server counts as new when it is listed.

Cause: any record of a state other than gone, applied or not, cleared the time since when its incarnation was gone; at the next check of that time the record was dropped as if long gone. A listing of a restored store holds such records for servers whose removal was lost, and a late one from another entry could before.

Evidence: TestCarriedRemovalListedAgain fails without the change ("" within the retention time). The time is cleared now if the incarnation is not gone in the catalog after the records were applied.

--- a/core/process/agatemerge/merge.go
+++ b/core/process/agatemerge/merge.go
@@ -193,14 +193,14 @@
 
 // cancelRemovals drops the pending removals of servers that have registered
 // again, and of those that a record already marks as gone. It also clears goneSince
-// of incarnations whose record is not gone.
+// of incarnations that are not gone with the records applied.
 func (m *Merger) cancelRemovals(records []agateinstance.Instance) {
 	for _, record := range records {
 		pending, ok := m.pending[record.Key]
 		if ok && (record.Position().After(pending.position) || record.State == agateinstance.Gone) {
 			delete(m.pending, record.Key)
 		}
-		if record.State != agateinstance.Gone {
+		if held, _ := m.catalog.Instance(record.Key); held.State != agateinstance.Gone {
 			delete(m.goneSince, record.Key)
 		}
 	}
--- a/core/process/agatemerge/restore_test.go
+++ b/core/process/agatemerge/restore_test.go
@@ -27,7 +27,7 @@
 // listing of era 2.
 func restored(known agateinstance.Instance, listed agatechange.Changes) *agatemerge.Merger {
 	m := agatemerge.New(policy)
-	m.Apply(listing(1, 30, inEra(1, newRecord(1, 10, agateinstance.Ready))), 0)
+	m.Apply(listing(1, 30, inEra(1, newRecord(1, 10, agateinstance.Ready)), inEra(1, newRecord(9, 9, agateinstance.Gone))), 0)
 	delivery := changes(known.Revision, inEra(1, known))
 	delivery.Era = 1
 	m.Apply(delivery, time.Second)
@@ -84,6 +84,18 @@
 	}
 }
 
+// TestCarriedRemovalListedAgain guards against forgetting a server that is gone before its
+// retention time is over, since the restored store lists it again.
+func TestCarriedRemovalListedAgain(t *testing.T) {
+	old := inEra(2, newRecord(1, 10, agateinstance.Ready))
+	m := restored(newRecord(1, 31, agateinstance.Gone), listing(2, 12, old))
+	m.Apply(listing(2, 12, old), 3*time.Second)
+	m.Tick(time.Second + policy.GoneRetention)
+	if got := state(m, 1); got != agateinstance.Gone {
+		t.Errorf("%q within the retention time, want gone", got)
+	}
+}
+
 // TestDeliveriesOfOtherEras guards against registrations of a watch that another era answers,
 // or of an answer from before the restore.
 func TestDeliveriesOfOtherEras(t *testing.T) {
