Soak: after a restore, writers write what they wrote last

Three copies were restored within a second, one from before a registration and one from after it; the list of lost changes of one restore undid the registration that another one had to repeat. The stand-in keeps the last change of each key now, whichever restore has lost it, and what differs from it is what is written again, if the server still runs at that time.

--- a/bench/agatesoak/steps.go
+++ b/bench/agatesoak/steps.go
@@ -213,16 +213,15 @@
 	var writers sync.WaitGroup
 	for i, item := range lost {
 		delay := time.Duration(step.Place>>(i%16)%16) * maxRewrite / 15
-		id, server := agatestandin.Server(item)
-		switch {
-		case item.Tombstone && step.Deep:
+		if item.Tombstone && step.Deep {
 			delay = expiry
-		case server && !item.Tombstone && !s.farm.Runs(id):
-			continue
 		}
 		writers.Go(func() {
 			s.sleep(delay)
-			s.store.Repeat(item)
+			id, server := agatestandin.Server(item)
+			if !server || item.Tombstone || s.farm.Runs(id) {
+				s.store.Repeat(item.Key)
+			}
 		})
 	}
 	writers.Wait()
--- a/core/version/agatehistory/history.go
+++ b/core/version/agatehistory/history.go
@@ -25,10 +25,10 @@
 type History struct {
 	mutex sync.Mutex
 	state
-	// era rises by one with each restore, and written holds the keys that have changed
-	// since the last one.
-	era     uint32
-	written map[string]bool
+	// era rises by one with each restore. requested holds the last change of each key,
+	// whether a restore has lost it or not.
+	era       uint32
+	requested map[string]Item
 	// changed is closed and replaced on every change.
 	changed chan struct{}
 }
@@ -43,7 +43,7 @@
 
 // New returns a history without records, in era 1 at revision 1.
 func New() *History {
-	return &History{state: state{revision: 1}, era: 1, written: make(map[string]bool), changed: make(chan struct{})}
+	return &History{state: state{revision: 1}, era: 1, requested: make(map[string]Item), changed: make(chan struct{})}
 }
 
 // Copy is the content of a history at one moment. It is immutable.
@@ -59,40 +59,48 @@
 }
 
 // Restore replaces the content by that of an earlier copy. Revisions after that of the
-// copy are given out again. It returns the changes that lead back to the former content,
-// in the order of their keys.
+// copy are given out again. It returns the last change of each key that was lost, in the
+// order of the keys.
 func (h *History) Restore(c *Copy) []Item {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	lost := make(map[string]Item)
-	for _, item := range c.items {
-		lost[item.Key] = Item{Key: item.Key, Tombstone: true}
-	}
-	for _, item := range h.items {
-		lost[item.Key] = item
-	}
-	for _, item := range c.items {
-		if bytes.Equal(lost[item.Key].Value, item.Value) && !lost[item.Key].Tombstone {
-			delete(lost, item.Key)
-		}
-	}
 	h.state = c.state
 	h.items, h.events = slices.Clone(c.items), slices.Clone(c.events)
 	h.era++
-	clear(h.written)
 	h.notify()
-	return slices.SortedFunc(maps.Values(lost), func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
+	var lost []Item
+	for _, key := range slices.Sorted(maps.Keys(h.requested)) {
+		if h.lacks(h.requested[key]) {
+			lost = append(lost, h.requested[key])
+		}
+	}
+	return lost
 }
 
-// Repeat applies a lost change again, unless its key has changed since the restore.
-func (h *History) Repeat(lost Item) {
+// Repeat applies the last change of a key again if it was lost.
+func (h *History) Repeat(key string) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if !h.written[lost.Key] {
-		h.apply(lost)
+	if change, found := h.requested[key]; found && h.lacks(change) {
+		h.apply(change)
 	}
 }
 
+// lacks reports whether the records differ from what a change has led to.
+func (h *History) lacks(change Item) bool {
+	index, exists := h.find(change.Key)
+	if change.Tombstone {
+		return exists
+	}
+	return !exists || !bytes.Equal(h.items[index].Value, change.Value)
+}
+
+// find returns the index of a key among the items, or where it would be inserted, and
+// reports whether it is there.
+func (h *History) find(key string) (int, bool) {
+	return slices.BinarySearchFunc(h.items, key, func(i Item, key string) int { return strings.Compare(i.Key, key) })
+}
+
 // Put stores a value under a key.
 func (h *History) Put(key string, value []byte) { h.change(Item{Key: key, Value: value}) }
 
@@ -102,6 +110,7 @@
 func (h *History) change(change Item) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	h.requested[change.Key] = change
 	h.apply(change)
 }
 
@@ -109,8 +118,7 @@
 func (h *History) apply(change Item) {
 	h.revision++
 	change.Revision = h.revision
-	h.written[change.Key] = true
-	index, exists := slices.BinarySearchFunc(h.items, change, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
+	index, exists := h.find(change.Key)
 	switch {
 	case exists && change.Tombstone:
 		h.items = slices.Delete(h.items, index, index+1)
--- a/core/version/agatehistory/history_test.go
+++ b/core/version/agatehistory/history_test.go
@@ -28,7 +28,7 @@
 	}
 	h.Put("b", []byte("new"))
 	for _, item := range lost {
-		h.Repeat(item)
+		h.Repeat(item.Key)
 	}
 	if l := h.List("", "", 9); l.Revision != 4 || len(l.Items) != 1 || string(l.Items[0].Value) != "new" {
 		t.Errorf("after the repeats: %+v", l)
