--- a/core/process/agatemerge/merge.go
+++ b/core/process/agatemerge/merge.go
@@ -124,9 +124,10 @@
 	m.Tick(now)
 }
 
-// enterEra returns the listing of a restored source with the states that are known from
-// before. Removals that were pending are dropped: a server that is listed has its lease
-// again, and one that is not has as long to register as after an outage.
+// enterEra begins the era of a listing of a restored source and returns the listing with
+// the states that are known from before. Removals that were pending are dropped: a server
+// that is listed has its lease again, and one that is not has as long to register as after
+// an outage.
 func (m *Merger) enterEra(c agatechange.Changes, now time.Duration) agatechange.Changes {
 	m.eraSince = now
 	if m.catalog.Revision() == 0 {
@@ -141,7 +142,7 @@
 		if !held {
 			continue
 		}
-		// An entry that lists the copy's records may hold them as of an earlier era.
+		// Another entry lists what the copy has unchanged under the era of the write.
 		listed := record
 		if record.Revision <= c.Revision {
 			listed.Era = c.Era
