--- a/ctl/process/agatecommand/command_test.go
+++ b/ctl/process/agatecommand/command_test.go
@@ -65,6 +65,7 @@
 		{"in force", []string{"--entry", current}, ExitOK, "in force"},
 		{"behind a peer", []string{"--entry", current, "--entry", behind}, ExitFinding, "1 of 2 entries are stale or behind ticket 9"},
 		{"behind the platform", []string{"--entry", behind, "--platform", serve(t, map[string]string{"/v1/tickets": `{"after":0,"upto":8,"head":8}`})}, ExitFinding, "behind ticket 8"},
+		{"behind a restored platform", []string{"--entry", current, "--platform", serve(t, map[string]string{"/v1/tickets": `{"era":2,"bases":[5],"after":0,"upto":6,"head":6}`})}, ExitFinding, "behind ticket 2/6"},
 		{"denied", []string{"--entry", denied}, ExitDenied, "bearer token is missing"},
 		{"unreachable", []string{"--entry", "127.0.0.1:1"}, ExitUnreachable, "is unreachable"},
 		{"no entry", nil, ExitUsage, "required flag"},
@@ -148,6 +149,10 @@
 			}
 		})
 	}
+	restored := file(t, `{"era":2,"bases":[5],"after":0,"upto":6,"head":6}`)
+	if code, out, _ := run(t, "check-ticket", "--published", restored, file(t, tests[0].ticket)); code != ExitFinding || !strings.Contains(out, "number 2/3 is not above 2/6") {
+		t.Errorf("number of before a restore: code %d, printed %s", code, out)
+	}
 	if code, _, errOut := run(t, "check-ticket", "missing.json"); code != ExitInput {
 		t.Fatalf("code %d, printed %s", code, errOut)
 	}
--- a/ctl/process/agatecommand/fleet_test.go
+++ b/ctl/process/agatecommand/fleet_test.go
@@ -42,6 +42,10 @@
 	if code != ExitFinding || members[1].Behind != 5 || !strings.Contains(message, "1 of 2 entries are behind version 9") {
 		t.Errorf("behind: %d, %+v, %s", code, members, message)
 	}
+	restored := dumped(t, agatedump.Dump{VM: "vm-3", Centre: "a", Version: 9, Era: 1, Revision: 12})
+	if code, _, message := run(t, "fleet", "--entry", current, "--entry", restored); code != ExitFinding || !strings.Contains(message, "1 of 2 entries are behind version 9 in era 1") {
+		t.Errorf("entry of an earlier era: %d, %s", code, message)
+	}
 	if code, out, _ := run(t, "fleet", "--entry", current, "--entry", "127.0.0.1:1"); code != ExitUnreachable || !strings.Contains(out, "unreachable") {
 		t.Errorf("unreachable: %d\n%s", code, out)
 	}
