A record written again under its former revision is a write of its own

Cause: records that a restored store has from its copy kept the era of their write, and a record that differed from the known one in its era only was taken for one of the copy. A server that registers again may get the revision that it had before. The entry that read this changed nothing and told nobody; another entry that had listed the store before that found the server missing, waited, and told all that it was gone.

Change: the era decides alone, so whatever a restored store lists is of its era. What entries send each other after a restore stays as small: records that differ in more than the era and those that the store lacks, under their earlier era; the receiver moves all others into the new era itself. The steerer restarts a warm-up if more than the era has changed.

--- a/core/process/agatemerge/merge.go
+++ b/core/process/agatemerge/merge.go
@@ -114,10 +114,24 @@
 	return replaced
 }
 
-// EnterEra applies the records by which the listing of a restored source, of the given
-// position, differs from what the catalog has up to its own position.
+// EnterEra applies what the listing of a restored source, of the given position, has
+// otherwise than the catalog: records of the source's era, and under their earlier era
+// those that it lacks. It has all others unchanged.
 func (m *Merger) EnterEra(differing []agateinstance.Instance, position agateposition.Position, now time.Duration) {
-	c := m.enterEra(agatechange.Changes{Era: position.Era, Revision: position.Revision, Instances: differing}, now)
+	c := agatechange.Changes{Era: position.Era, Revision: position.Revision}
+	differs := make(map[agateinstance.Key]bool, len(differing))
+	for _, record := range differing {
+		differs[record.Key] = true
+		if record.Era == position.Era {
+			c.Instances = append(c.Instances, record)
+		}
+	}
+	for held := range m.catalog.All() {
+		if !differs[held.Key] && held.State != agateinstance.Gone {
+			c.Instances = append(c.Instances, held.WithEra(position.Era))
+		}
+	}
+	c = m.enterEra(c, now)
 	m.catalog, _ = m.catalog.WithInstances(c.Instances)
 	m.cancelRemovals(c.Instances)
 	m.catalog = m.catalog.WithFloor(position).WithPosition(position)
@@ -137,19 +151,10 @@
 	clear(m.pending)
 	records := make([]agateinstance.Instance, len(c.Instances))
 	for i, record := range c.Instances {
-		records[i] = record
-		known, held := m.catalog.Instance(record.Key)
-		if !held {
-			continue
-		}
-		// Another entry lists what the copy has unchanged under the era of the write.
-		listed := record
-		if record.Revision <= c.Revision {
-			listed.Era = c.Era
-		}
-		if carried := listed.Carry(known); carried.State != record.State {
-			records[i] = carried
+		if known, held := m.catalog.Instance(record.Key); held {
+			record = record.Carry(known)
 		}
+		records[i] = record
 	}
 	c.Instances = records
 	return c
--- a/core/process/agatesteer/steer.go
+++ b/core/process/agatesteer/steer.go
@@ -105,7 +105,7 @@
 		known = &server{}
 		s.servers[instance.Key] = known
 	}
-	if instance.Position() != known.instance.Position() {
+	if !instance.EqualContent(known.instance) {
 		known.coldUntil = now + instance.WarmUp
 	}
 	s.removeReady(known)
--- a/core/process/agatesync/page.go
+++ b/core/process/agatesync/page.go
@@ -118,11 +118,26 @@
 		return
 	}
 	s.restore = restore{from: before.Position(), to: after.Position()}
-	for _, record := range changedRecords(after, before) {
+	for _, record := range restoredRecords(after, before) {
 		s.restore.changed = append(s.restore.changed, record.Key)
 	}
 }
 
+// restoredRecords returns what differs between a catalog and an earlier one of another era:
+// records that the restored store has otherwise, and under their earlier era those that it
+// lacks.
+func restoredRecords(after, before *agatecatalog.Catalog) []agateinstance.Instance {
+	var records []agateinstance.Instance
+	for instance := range after.All() {
+		earlier, ok := before.Instance(instance.Key)
+		lacking := instance.State != agateinstance.Gone && instance.Era < after.Position().Era
+		if !ok || lacking || !instance.EqualContent(earlier) || earlier.Position().After(before.Position()) {
+			records = append(records, instance)
+		}
+	}
+	return records
+}
+
 // pagesAfterRestore returns the pages that lead an entry from the position before the
 // restore to the catalog's.
 func (s *Sync) pagesAfterRestore() []agatenotice.Notice {
--- a/core/process/agatesync/restore_test.go
+++ b/core/process/agatesync/restore_test.go
@@ -146,6 +146,26 @@
 	f.checkState("not registered again", 9, agateinstance.Gone)
 }
 
+// TestRegisteredAgainUnderSameRevision guards against a server that is removed though it has
+// registered again, since its record has the revision that it had before the restore.
+func TestRegisteredAgainUnderSameRevision(t *testing.T) {
+	f := newFleet(t, 1, 3, 1)
+	f.store.configure(1, 4)
+	f.run(2 * time.Second)
+	c := f.store.copy()
+	f.store.write(9, agateinstance.Ready)
+	f.run(time.Second)
+	reader, _, _ := f.roles()
+	f.store.restore(c)
+	for reader.sync.Catalog().Position().Era < 2 {
+		f.run(step)
+	}
+	reader.storeBlocked = true
+	f.store.write(9, agateinstance.Ready)
+	f.run(2 * bound)
+	f.checkState("registered again", 9, agateinstance.Ready)
+}
+
 // TestRestoreReachesEntryWithoutStore guards against an entry that stays in an earlier era
 // since neither it nor another one of its data centre reaches the store.
 func TestRestoreReachesEntryWithoutStore(t *testing.T) {
--- a/core/process/agatesync/sync.go
+++ b/core/process/agatesync/sync.go
@@ -246,6 +246,9 @@
 		return s.snapshotPages(after)
 	}
 	changed := changedRecords(after, before)
+	if restored {
+		changed = restoredRecords(after, before)
+	}
 	if len(changed) == 0 && after.Position() == before.Position() {
 		return nil
 	}
--- a/core/version/agateinstance/instance.go
+++ b/core/version/agateinstance/instance.go
@@ -141,14 +141,16 @@
 	return agateposition.Position{Era: i.Era, Revision: i.Revision}
 }
 
-// Replaces reports whether the record is to replace another one of the incarnation: it is
-// later and not the same write, seen in the copy from which the store was restored.
+// Replaces reports whether the record is to replace another one of the incarnation.
 func (i Instance) Replaces(other Instance) bool {
-	if cmp.Or(i.Position().Compare(other.Position()), cmp.Compare(i.StateEra, other.StateEra)) <= 0 {
-		return false
-	}
-	other.Era = i.Era
-	return i != other
+	return cmp.Or(i.Position().Compare(other.Position()), cmp.Compare(i.StateEra, other.StateEra)) > 0
+}
+
+// EqualContent reports whether two records differ at most in their eras, as those do that a
+// restored store has from its copy.
+func (i Instance) EqualContent(other Instance) bool {
+	i.Era, i.StateEra, other.Era, other.StateEra = 0, 0, 0, 0
+	return i == other
 }
 
 // Carried reports whether the record's state is known from an earlier era than that of the
@@ -178,6 +180,12 @@
 	return i
 }
 
+// WithEra returns the instance as a record of another era.
+func (i Instance) WithEra(era uint32) Instance {
+	i.Era = era
+	return i
+}
+
 // WithConfirmedState returns the instance with its state confirmed in the record's era.
 func (i Instance) WithConfirmedState() Instance {
 	i.StateEra = i.Era
