agatesync: draw writes repeated after a restore, which may get their former revisions

TestRestores wrote everything anew at its end, so that no record came back under the revision that it had before. It repeats what was lost now, also in between, and only that.

--- a/core/process/agatesync/restore_test.go
+++ b/core/process/agatesync/restore_test.go
@@ -294,8 +294,10 @@
 // restoreModel draws changes, restores and faults, and checks that no entry goes back.
 type restoreModel struct {
 	*fleet
-	// version is the last version written, and copies are those of the store.
+	// version is the last version written, and states are the states last written, empty
+	// for a removal, whether the store has lost them or not. copies are those of the store.
 	version int64
+	states  map[uint64]agateinstance.State
 	copies  []store
 	// highest is the highest version that each entry has held since its start.
 	highest map[*entry]int64
@@ -305,20 +307,22 @@
 func (m *restoreModel) step(r *rapid.T) {
 	e := rapid.SampledFrom(m.entries).Draw(r, "entry")
 	id := rapid.Uint64Range(1, 8).Draw(r, "id")
-	switch rapid.SampledFrom([]string{"config", "ready", "draining", "remove", "copy", "restore", "block", "isolate", "restart"}).Draw(r, "step") {
+	switch rapid.SampledFrom([]string{"config", "ready", "draining", "remove", "copy", "restore", "repeat", "block", "isolate", "restart"}).Draw(r, "step") {
 	case "config":
 		m.version++
 		m.store.configure(m.version, rapid.IntRange(1, 5).Draw(r, "vips"))
 	case "ready":
-		m.store.write(id, agateinstance.Ready)
+		m.write(id, agateinstance.Ready)
 	case "draining":
-		m.store.write(id, agateinstance.Draining)
+		m.write(id, agateinstance.Draining)
 	case "remove":
-		m.store.remove(id)
+		m.write(id, "")
 	case "copy":
 		m.copies = append(m.copies, m.store.copy())
 	case "restore":
 		m.store.restore(m.copies[len(m.copies)-1])
+	case "repeat":
+		m.repeat()
 	case "block":
 		e.storeBlocked = !e.storeBlocked
 	case "isolate":
@@ -333,6 +337,25 @@
 	}
 }
 
+// write registers a server in a state, or removes it for an empty state.
+func (m *restoreModel) write(id uint64, state agateinstance.State) {
+	m.states[id] = state
+	if state == "" {
+		m.store.remove(id)
+		return
+	}
+	m.store.write(id, state)
+}
+
+// repeat lets the servers write again what the store has lost.
+func (m *restoreModel) repeat() {
+	for _, id := range slices.Sorted(maps.Keys(m.states)) {
+		if m.store.registrations[id].State != m.states[id] {
+			m.write(id, m.states[id])
+		}
+	}
+}
+
 // checkVersions fails the test if an entry has gone back.
 func (m *restoreModel) checkVersions(r *rapid.T) {
 	for _, e := range m.entries {
@@ -349,11 +372,13 @@
 // none has gone back to an older version meanwhile.
 func TestRestores(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
-		m := &restoreModel{fleet: newFleet(t, 2, 3, rapid.Uint64().Draw(r, "seed")), highest: make(map[*entry]int64)}
+		m := &restoreModel{fleet: newFleet(t, 2, 3, rapid.Uint64().Draw(r, "seed")), highest: make(map[*entry]int64), states: make(map[uint64]agateinstance.State)}
 		m.loss = 0.05
 		m.version = 1
 		m.store.configure(1, 2)
-		m.addServers(4)
+		for id := range uint64(4) {
+			m.write(id+1, agateinstance.Ready)
+		}
 		m.copies = []store{m.store.copy()}
 		for range rapid.IntRange(1, 12).Draw(r, "steps") {
 			m.run(time.Duration(rapid.IntRange(10, 1500).Draw(r, "ms")) * time.Millisecond)
@@ -365,9 +390,7 @@
 		}
 		m.run(time.Second)
 		m.store.configure(m.version+1, 3)
-		for _, id := range slices.Sorted(maps.Keys(m.store.registrations)) {
-			m.store.write(id, m.store.registrations[id].State)
-		}
+		m.repeat()
 		m.run(lease + 2*bound)
 		m.checkVersions(r)
 		if mismatches := m.mismatches(); len(mismatches) > 0 {
