--- a/core/process/agatesteer/load_test.go
+++ b/core/process/agatesteer/load_test.go
@@ -103,6 +103,23 @@
 	}
 }
 
+// TestWarmServerAfterRestore guards against taking a server for cold again since a restored
+// store lists its record unchanged.
+func TestWarmServerAfterRestore(t *testing.T) {
+	fx := newFixture(t)
+	server := fx.server(1, "a", agateinstance.Ready)
+	fx.revision++
+	server.WarmUp, server.Revision = 2*time.Second, fx.revision
+	fx.register(server)
+	fx.run(3 * time.Second)
+	warm := fx.newFlow(orders).open().Evidence.Capacity
+	server.Era = 2
+	fx.register(server)
+	if got := fx.newFlow(orders).open().Evidence.Capacity; got != warm {
+		t.Errorf("capacity %g after the restore, want %g", got, warm)
+	}
+}
+
 // TestFlowLimit checks that a flood of SYNs doesn't exceed the limit of tracked
 // flows.
 func TestFlowLimit(t *testing.T) {
