--- a/core/process/agatemerge/restore_test.go
+++ b/core/process/agatemerge/restore_test.go
@@ -1,6 +1,7 @@
 package agatemerge_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -112,3 +113,20 @@
 		t.Errorf("position %s, want %s", m.Catalog().Position(), want)
 	}
 }
+
+// BenchmarkEnterEra enters a new era with a listing of the servers of the largest
+// supported deployment, unchanged.
+func BenchmarkEnterEra(b *testing.B) {
+	const servers = 120_000
+	var records []agateinstance.Instance
+	for id := range uint64(servers) {
+		record := newRecord(id+1, int64(id+1), agateinstance.Ready)
+		record.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(id >> 16), byte(id >> 8), byte(id)}), 80)
+		records = append(records, record)
+	}
+	m := agatemerge.New(policy)
+	m.Apply(listing(0, servers, records...), 0)
+	for era := uint32(1); b.Loop(); era++ {
+		m.EnterEra(nil, agateposition.Position{Era: era, Revision: servers}, time.Duration(era)*time.Second)
+	}
+}
