--- a/entry/process/agatekeeper/reads.go
+++ b/entry/process/agatekeeper/reads.go
@@ -144,6 +144,7 @@
 	k.publish(sourceStore)
 	k.logAnswer(&r, before)
 	if r.Changes.Era > k.sync.Catalog().Position().Era {
+		// A watch was answered by the restored store, which is to be listed first.
 		k.nextRead = time.Time{}
 	}
 	k.send(sends)
