--- a/review/standin/zone.go
+++ b/review/standin/zone.go
@@ -28,7 +28,7 @@
 		budget   = 1500 * time.Millisecond
 		busy     = 120
 		perPath  = 3
-		straggle = "/feed?work=1100"
+		straggle = "/feed?work=1300"
 		calm     = 6 * time.Second
 	)
 	// A busy moment: many clients of the first zone come at once, and some of their flows go
