Forward flows of a restarted server to it: only the server knows which ones it holds

Cause: a token names the incarnation (id and start time) that the entry knew when it placed the flow. Until the new start is registered, that is the former one, though the process that answers the handshake is the new one. Once the registration arrived, Catalog.Replaced took "a later incarnation of the id is known" as proof that every flow of the former token was over, and the entry reset them. A token doesn't tell the two kinds of flow apart; the server does, and resets a flow that it doesn't hold.

Change: Successor returns who receives what is sent to an incarnation: the newest of the id if it has the same address. Segments go there, and loads and evidence are counted there. Evidence against the former incarnation resets nothing any more, and a flow keeps the incarnation that its token names, so that a token which collides with that of another server still finds its way. What remains proof that a flow is over: the id registered at another address, or another id at the address, unless that one started earlier.

TestReplacedServerEndsFlows asked for a reset at once after a restart at the same address, which the flow rule forbids where the new start holds the flow. Its other half stands; in place of this one it asks the same of a restart at another address, and TestRestartedServerKeepsFlows asks for the opposite at the same address.

Evidence: without the change TestRestartedServerKeepsFlows fails (reset (ended), later start, both kinds of route), as do TestRestartDiscardsEvidence (4 flows reset) and TestRestartWithCollidingToken (dropped).

--- a/core/process/agatesteer/server.go
+++ b/core/process/agatesteer/server.go
@@ -17,6 +17,9 @@
 	// server is the flow's server; nil before the first one is assigned and
 	// after it has been removed.
 	server *server
+	// named is the incarnation that the token of the flow's last segment names. It
+	// differs from that of server once that has restarted.
+	named agateinstance.Key
 	// stats are those of the flow's virtual address; nil if the configuration
 	// doesn't contain it.
 	stats *vipStats
--- a/core/process/agatesteer/share.go
+++ b/core/process/agatesteer/share.go
@@ -284,7 +284,8 @@
 
 // dead reports whether to give up a server's open flows.
 func (s *Steerer) dead(srv *server, now time.Duration) bool {
-	if now < s.ignoreRetransmitsUntil {
+	if now < s.ignoreRetransmitsUntil || s.catalog.Successor(srv.instance).Key != srv.instance.Key {
+		// The evidence on an incarnation says nothing about its successor.
 		return false
 	}
 	if srv.silence.Confirmed(s.policy.Silence, now) {
--- a/core/process/agatesteer/steer.go
+++ b/core/process/agatesteer/steer.go
@@ -196,20 +196,26 @@
 		return instance, found
 	}
 	f := s.flows.Find(segment.Flow)
-	if f == nil || f.State.server == nil || !f.State.server.instance.HasToken(segment.Token) {
+	if f == nil || !f.State.named.HasToken(segment.Token) {
 		return instance, found
 	}
-	return f.State.server.instance, agatecatalog.Found
+	if named, held := s.catalog.Instance(f.State.named); held {
+		return named, agatecatalog.Found
+	}
+	return instance, found
 }
 
-// decideEstablished decides on a segment whose token refers to an incarnation.
-func (s *Steerer) decideEstablished(segment agatesegment.Segment, instance agateinstance.Instance, now time.Duration) Verdict {
-	known := s.servers[instance.Key]
-	if s.isStaleCopy(segment, known) {
-		return Verdict{Action: Drop, Reason: Stale, server: known}
+// decideEstablished decides on a segment whose token refers to an incarnation. If
+// the server has restarted at the same address, the segment goes to the new
+// incarnation: that one may hold the flow, and it resets a flow that it doesn't hold.
+func (s *Steerer) decideEstablished(segment agatesegment.Segment, named agateinstance.Instance, now time.Duration) Verdict {
+	if s.isStaleCopy(segment, named) {
+		return Verdict{Action: Drop, Reason: Stale, server: s.servers[named.Key]}
 	}
+	known := s.servers[s.catalog.Successor(named).Key]
 	f, event, _ := s.flows.Observe(segment, now)
 	f.State.lastAck = segment.Acknowledged
+	f.State.named = named.Key
 	if f.State.stats == nil {
 		f.State.stats = s.statsFor(segment.Flow)
 	}
@@ -217,7 +223,7 @@
 		s.assign(f, known)
 	}
 	s.recordEvent(f, event, now)
-	if instance.State == agateinstance.Gone && s.terminated(known, f, event, now) {
+	if known.instance.State == agateinstance.Gone && s.terminated(known, f, event, now) {
 		return s.reset(f, Ended)
 	}
 	if retransmittedUnanswered(f) && s.dead(known, now) && s.idempotent(f) {
@@ -227,14 +233,14 @@
 }
 
 // isStaleCopy reports whether a segment is a delayed copy from an earlier flow
-// with the same addresses and ports: its server is gone, and this entry has
-// assigned the current flow to other servers.
-func (s *Steerer) isStaleCopy(segment agatesegment.Segment, srv *server) bool {
-	if srv.instance.State != agateinstance.Gone {
+// with the same addresses and ports: the incarnation that it names is gone, and
+// this entry has assigned the current flow to others.
+func (s *Steerer) isStaleCopy(segment agatesegment.Segment, named agateinstance.Instance) bool {
+	if named.State != agateinstance.Gone {
 		return false
 	}
 	f := s.flows.Find(segment.Flow)
-	return f != nil && f.State.synServerCount > 0 && !f.State.receivedSYN(srv) && f.State.server != srv
+	return f != nil && f.State.synServerCount > 0 && !f.State.receivedSYN(s.servers[named.Key]) && f.State.named != named.Key
 }
 
 // retransmittedUnanswered reports whether the caller has retransmitted a
@@ -250,7 +256,7 @@
 }
 
 // terminated reports whether a deregistered server has certainly stopped: it
-// has restarted, another server has its address, or it doesn't answer. One
+// has been replaced, or it doesn't answer. One
 // unanswered segment isn't enough for the last case, since it may have been
 // lost, and a server may serve its flows for a while after its registration is
 // gone.
@@ -305,6 +311,7 @@
 		return s.refuseSYN(segment, NoServer, now)
 	}
 	s.assign(f, chosen)
+	f.State.named = chosen.instance.Key
 	if f.State.synServerCount < len(f.State.synServers) && !f.State.receivedSYN(chosen) {
 		f.State.synServers[f.State.synServerCount] = chosen
 		f.State.synServerCount++
--- a/core/version/agatecatalog/catalog.go
+++ b/core/version/agatecatalog/catalog.go
@@ -112,12 +112,31 @@
 	return c.Instance(key)
 }
 
-// Replaced reports whether the incarnation is known to have ended because its
-// server has restarted or another server has its address.
+// Successor returns the incarnation that receives what is sent to another one: the
+// newest of the server if it has the same address, else the given one itself. A flow may
+// have been opened with the successor before that was registered, so the token doesn't
+// tell which of the two holds it.
+func (c *Catalog) Successor(instance agateinstance.Instance) agateinstance.Instance {
+	if instance.State != agateinstance.Gone {
+		return instance
+	}
+	latest, held := c.Newest(instance.ID)
+	if !held || latest.Address != instance.Address {
+		return instance
+	}
+	return latest
+}
+
+// Replaced reports whether no flow of the incarnation can be open anywhere: its server
+// has restarted at another address, or a server that started later has its address, since an address is
+// reused only after its server has ended. A restart at the same address isn't sufficient; see Successor.
 func (c *Catalog) Replaced(instance agateinstance.Instance) bool {
-	latest, held := c.newest.Get(instance.ID)
+	latest, held := c.Newest(instance.ID)
+	if held && latest.StartTime > instance.StartTime && latest.Address != instance.Address {
+		return true
+	}
 	holder, occupied := c.byAddress.Get(instance.Address)
-	return held && latest.StartTime > instance.StartTime || occupied && holder != instance.Key
+	return occupied && holder.ID != instance.ID && holder.StartTime >= instance.StartTime
 }
 
 // Instances returns all known incarnations, ordered by id and start time.
