Reset a flow of a silent data centre on evidence of its own only

Cause: unanswered flows at two servers, three in all, made the whole data centre count as cut off. From then on a single retransmission was enough to reset a flow at any server there that had not answered this entry for 350 ms. A server that runs a slow request looks like that: it acknowledges the second copy, and the entry doesn't see acknowledgements. So evidence on some members stood for all others.

Change, in two parts. A flow that is given up because its data centre is silent must itself be firm evidence: two unanswered copies, which a running server prevents by its acknowledgement of the second packet. And the hypothesis of a cut is refuted by any sign from there: an answer of a server, as before, or a heartbeat of an entry. Only segments sent after the last sign count, so one sign does not hide what comes later. For the latter entries pass heartbeats of other data centres to the steerer, also those without loads. The log of a reset has the flow's own copies and whether its data centre counts as silent.

Weighed: signs alone (in a centre whose entries are all lost there are none), firm copies alone (one lost packet makes two copies of a slow request), more servers or flows as a threshold (crashes of a whole domain pass any).

--- a/core/process/agatesilence/silence.go
+++ b/core/process/agatesilence/silence.go
@@ -142,9 +142,16 @@
 }
 
 // LocalEvidence returns the evidence from this entry's flows.
-func (d *Detector) LocalEvidence() Evidence {
+func (d *Detector) LocalEvidence() Evidence { return d.LocalEvidenceAfter(d.lastAnswer) }
+
+// LocalEvidenceAfter returns the evidence from those of this entry's flows whose
+// unanswered segments were sent after the given time.
+func (d *Detector) LocalEvidenceAfter(at time.Duration) Evidence {
 	var sum Evidence
 	for _, each := range d.unanswered {
+		if each.since <= at {
+			continue
+		}
 		one := Evidence{Flows: 1, Since: each.since}
 		if each.firm {
 			one.Firm = 1
--- a/core/process/agatesteer/note.go
+++ b/core/process/agatesteer/note.go
@@ -90,14 +90,6 @@
 	s.updateCounts(f)
 }
 
-// recordCentreAlive records that a server of another data centre answered.
-func (s *Steerer) recordCentreAnswer(srv *server, at time.Duration) {
-	if srv.instance.Centre != s.centre {
-		c := s.centreOf(srv)
-		c.lastAnswer = max(c.lastAnswer, at)
-	}
-}
-
 // updateCounts brings the counts of the flow's server up to date with the flow.
 func (s *Steerer) updateCounts(f *flow) {
 	srv := f.State.server
--- a/core/process/agatesteer/share.go
+++ b/core/process/agatesteer/share.go
@@ -188,12 +188,28 @@
 	}
 }
 
+// RecordCentre records that an entry of a data centre has sent something. A data
+// centre that is cut off sends nothing, so the evidence from before doesn't count.
+func (s *Steerer) RecordCentre(name string, now time.Duration) {
+	if known, ok := s.centres[name]; ok {
+		known.recordSign(now)
+	}
+}
+
+// recordCentreAnswer records that a server of any data centre answered.
+func (s *Steerer) recordCentreAnswer(srv *server, at time.Duration) {
+	if srv.instance.Centre != s.centre {
+		s.centreOf(srv).recordSign(at)
+	}
+}
+
 // centreState is the state of another data centre as a whole.
 type centreState struct {
-	// lastHeard is when any of its servers last answered.
-	lastAnswer time.Duration
-	// silent is whether several of its servers have left flows unanswered and
-	// none has answered since.
+	// lastSign is when any of its servers last answered or any of its entries was
+	// last heard.
+	lastSign time.Duration
+	// silent is whether several of its servers have left flows unanswered since
+	// lastSign.
 	silent bool
 	// silentSince is the time since which silent has been set.
 	silentSince time.Duration
@@ -201,6 +217,9 @@
 	lastTrial time.Duration
 }
 
+// recordSign records that the data centre was reachable at the given time.
+func (c *centreState) recordSign(at time.Duration) { c.lastSign = max(c.lastSign, at) }
+
 // updateCentres determines which other data centres are unreachable. An
 // interrupted connection affects all servers of a data centre at once, each
 // with too few flows from here to be suspected by itself.
@@ -213,12 +232,12 @@
 				sum = &centreSum{}
 				sums[name] = sum
 			}
-			sum.add(each)
+			sum.add(each.evidenceAfter(s.centreByName(name).lastSign))
 		}
 	}
 	for name, known := range s.centres {
 		sum := sums[name]
-		silent := sum != nil && sum.silent(s.policy.Silence, known.lastAnswer)
+		silent := sum != nil && sum.silent(s.policy.Silence)
 		if silent && !known.silent {
 			known.silentSince = now
 		}
@@ -239,6 +258,18 @@
 // centreOf returns the state of a server's data centre.
 func (s *Steerer) centreOf(each *server) *centreState { return s.centreByName(each.instance.Centre) }
 
+// evidenceAfter returns the evidence of this and other entries from segments sent
+// after the given time and the server's last answer.
+func (s *server) evidenceAfter(at time.Duration) agatesilence.Evidence {
+	sum := s.silence.LocalEvidenceAfter(at)
+	for _, each := range s.suspicions {
+		if each.Since > max(at, s.silence.LastAnswer()) {
+			sum = sum.Add(each)
+		}
+	}
+	return sum
+}
+
 // centreSum sums up the evidence on a data centre's servers.
 type centreSum struct {
 	// unanswered sums up the unanswered flows, and servers is the number of
@@ -247,8 +278,8 @@
 	servers    int
 }
 
-func (c *centreSum) add(each *server) {
-	missing := each.silence.TotalEvidence()
+// add adds the evidence on one server.
+func (c *centreSum) add(missing agatesilence.Evidence) {
 	if missing.Flows == 0 {
 		return
 	}
@@ -256,10 +287,9 @@
 	c.servers++
 }
 
-// silent reports whether the data centre, last heard from at the given time, is
-// silent.
-func (c *centreSum) silent(p agatesilence.Policy, lastAnswer time.Duration) bool {
-	return c.servers > 1 && c.unanswered.Flows >= p.ConfirmFlows && c.unanswered.Firm >= p.FirmFlows && c.unanswered.Since > lastAnswer
+// silent reports whether the data centre is silent.
+func (c *centreSum) silent(p agatesilence.Policy) bool {
+	return c.servers > 1 && c.unanswered.Flows >= p.ConfirmFlows && c.unanswered.Firm >= p.FirmFlows
 }
 
 // centreUnreachable reports whether a server is in another data centre that is
@@ -282,15 +312,22 @@
 	return now-s.centreOf(srv).silentSince >= s.policy.Silence.ContradictionTime
 }
 
-// dead reports whether to give up a server's open flows.
-func (s *Steerer) dead(srv *server, now time.Duration) bool {
-	if now < s.ignoreRetransmitsUntil || s.catalog.Successor(srv.instance).Key != srv.instance.Key {
+// resetThreshold returns the number of unanswered retransmissions from which on a
+// server's open flows are given up, or 0 if they are not. What other servers of the
+// data centre left unanswered says little about this one: several may have crashed
+// while it is at work. So a flow that is given up because of them must itself be firm
+// evidence.
+func (s *Steerer) resetThreshold(srv *server, now time.Duration) int {
+	switch {
+	case now < s.ignoreRetransmitsUntil:
+		return 0
+	case s.catalog.Successor(srv.instance).Key != srv.instance.Key:
 		// The evidence on an incarnation says nothing about its successor.
-		return false
-	}
-	if srv.silence.Confirmed(s.policy.Silence, now) {
-		return true
+		return 0
+	case srv.silence.Confirmed(s.policy.Silence, now):
+		return 1
+	case s.centreUnreachable(srv) && s.centreSettled(srv, now) && now-srv.silence.LastAnswer() >= s.policy.Silence.MinSilence:
+		return firmRetransmits
 	}
-	missing := srv.silence.TotalEvidence()
-	return s.centreUnreachable(srv) && s.centreSettled(srv, now) && missing.Flows > 0 && now-srv.silence.LastAnswer() >= s.policy.Silence.MinSilence
+	return 0
 }
--- a/core/process/agatesteer/steer.go
+++ b/core/process/agatesteer/steer.go
@@ -154,6 +154,7 @@
 	}
 	v.Server, v.Address = v.server.instance.ID, v.server.instance.Address
 	e.UnansweredFlows = v.server.silence.TotalEvidence().Flows
+	e.CentreSilent = s.centreUnreachable(v.server)
 	if last := v.server.silence.LastAnswer(); last > 0 {
 		e.SinceAnswer = now - last
 	}
@@ -226,7 +227,7 @@
 	if known.instance.State == agateinstance.Gone && s.terminated(known, f, event, now) {
 		return s.reset(f, Ended)
 	}
-	if retransmittedUnanswered(f) && s.dead(known, now) && s.idempotent(f) {
+	if unanswered(f, s.resetThreshold(known, now)) && s.idempotent(f) {
 		return s.reset(f, Silent)
 	}
 	return s.forward(known, segment.Token, Held)
@@ -243,11 +244,13 @@
 	return f != nil && f.State.synServerCount > 0 && !f.State.receivedSYN(s.servers[named.Key]) && f.State.named != named.Key
 }
 
-// retransmittedUnanswered reports whether the caller has retransmitted a
-// segment through this entry without an answer. Without that, this entry may
-// have seen only one segment of the flow, and its evidence against the server
-// may come from other entries alone.
-func retransmittedUnanswered(f *flow) bool { return f.RequestPending && f.Retransmits > 0 }
+// unanswered reports whether the caller has retransmitted a segment through this
+// entry at least as often as the threshold without an answer. A threshold of 0 is
+// never reached: without a retransmission, this entry may have seen only one segment
+// of the flow, and its evidence against the server may come from other entries alone.
+func unanswered(f *flow, threshold int) bool {
+	return threshold > 0 && f.RequestPending && f.Retransmits >= threshold
+}
 
 // idempotent reports whether the caller of a flow may repeat its request.
 func (s *Steerer) idempotent(f *flow) bool {
@@ -277,6 +280,7 @@
 func (s *Steerer) reset(f *flow, reason Reason) Verdict {
 	v := Verdict{Action: Reset, Reason: reason, Flow: f.Tuple, Sequence: f.State.lastAck, server: f.State.server}
 	v.Evidence.PreviousServer = f.State.previousServerID(f.State.server)
+	v.Evidence.Retransmits = f.Retransmits
 	s.flows.Remove(f)
 	return v
 }
--- a/core/process/agatesteer/verdict.go
+++ b/core/process/agatesteer/verdict.go
@@ -97,6 +97,11 @@
 	// SinceAnswer is the time since it last answered; 0 if it never did.
 	UnansweredFlows int
 	SinceAnswer     time.Duration
+	// Retransmits is the number of the flow's own unanswered retransmissions if it is
+	// reset, and CentreSilent is whether the server's data centre counts as
+	// unreachable.
+	Retransmits  int
+	CentreSilent bool
 	// Version and Position are those of the catalog, and Age is the time since
 	// it was last known to be the newest.
 	Version  int64
--- a/entry/process/agatedirect/direct.go
+++ b/entry/process/agatedirect/direct.go
@@ -22,6 +22,7 @@
 	"agatereach/core/connection/agatesocket"
 	"agatereach/core/process/agatedump"
 	"agatereach/core/process/agatemerge"
+	"agatereach/core/process/agatenotice"
 	"agatereach/core/process/agatepanic"
 	"agatereach/core/process/agatesetup"
 	"agatereach/core/process/agatesteer"
@@ -292,8 +293,10 @@
 				d.collector.ScheduleResume()
 			}
 		},
-		Loads: func(from string, loads []agateload.Load, partial bool) {
-			forwarder.LoadReports().Put(agateforwarder.LoadReport{From: from, Loads: loads, Partial: partial})
+		Heartbeat: func(b *agatenotice.Heartbeat) {
+			if len(b.Loads) > 0 || b.Centre != d.setup.Centre {
+				forwarder.LoadReports().Put(agateforwarder.LoadReport{From: b.Name, Centre: b.Centre, Loads: b.Loads, Partial: b.Partial})
+			}
 		},
 	}
 }
--- a/entry/process/agateforwarder/forwarder.go
+++ b/entry/process/agateforwarder/forwarder.go
@@ -67,9 +67,9 @@
 
 // LoadReport holds the loads of backend servers that another entry reports.
 type LoadReport struct {
-	// From is the name of the other entry's VM.
-	From string
-	// Loads holds one item per reported server. Partial is whether they add to
+	// From is the name of the other entry's VM, and Centre that of its data centre.
+	From, Centre string
+	// Loads holds one item per reported server, or none. Partial is whether they add to
 	// those of earlier reports instead of replacing them.
 	Loads   []agateload.Load
 	Partial bool
@@ -215,8 +215,7 @@
 		case u := <-f.catalogUpdates.Items():
 			f.updateCatalog(u)
 		case r := <-f.loadReports.Items():
-			f.steerer.Report(r.From, r.Loads, r.Partial, f.now())
-			f.shareUrgent()
+			f.handleReport(r)
 		case request := <-f.dumpRequests.Items():
 			f.steerer.Dump(request.dump, f.now())
 			close(request.done)
@@ -226,6 +225,16 @@
 	}
 }
 
+// handleReport passes the report of another entry to the steerer.
+func (f *Forwarder) handleReport(r LoadReport) {
+	now := f.now()
+	f.steerer.RecordCentre(r.Centre, now)
+	if len(r.Loads) > 0 {
+		f.steerer.Report(r.From, r.Loads, r.Partial, now)
+		f.shareUrgent()
+	}
+}
+
 // now returns the time on the steerer's clock.
 func (f *Forwarder) now() time.Duration { return time.Since(f.clockStart) }
 
--- a/entry/process/agatekeeper/keeper.go
+++ b/entry/process/agatekeeper/keeper.go
@@ -47,10 +47,8 @@
 	// View is called with a newer catalog, or with a later time at which the
 	// catalog was current.
 	View func(View)
-	// Loads is called with the loads of backend servers that another entry
-	// reports. partial is whether they add to those it reported before instead
-	// of replacing them.
-	Loads func(from string, loads []agateload.Load, partial bool)
+	// Heartbeat is called with each heartbeat of another entry.
+	Heartbeat func(*agatenotice.Heartbeat)
 }
 
 // Keeper owns the synchronization state of an entry.
@@ -256,8 +254,8 @@
 	sends := k.sync.Receive(r.from, r.notice, k.now())
 	k.publish(r.from.String())
 	k.send(sends)
-	if b := r.notice.Heartbeat; b != nil && len(b.Loads) > 0 {
-		k.handlers.Loads(b.Name, b.Loads, b.Partial)
+	if b := r.notice.Heartbeat; b != nil {
+		k.handlers.Heartbeat(b)
 	}
 }
 
--- a/entry/request/agateexplain/explain.go
+++ b/entry/request/agateexplain/explain.go
@@ -83,6 +83,8 @@
 		"silent", v.Evidence.Silent,
 		"missed", v.Evidence.UnansweredFlows,
 		"heard", v.Evidence.SinceAnswer,
+		"copies", v.Evidence.Retransmits,
+		"centre_silent", v.Evidence.CentreSilent,
 		"version", v.Evidence.Version,
 		"era", v.Evidence.Position.Era,
 		"revision", v.Evidence.Position.Revision,
