Refuse registrations whose names don't fit into a datagram

What callers would see: with one such entry in the store, entries that learn of changes from their reader stop following: a drain or a removed route is in force only where the store itself can be read, and an entry that starts while the store refuses it gets no catalog at all and drops every flow.

Cause: nothing bounded the names of a service and a data centre. A registration travels on a page with others, at least one to a page, and a page of over 8 KB is refused by its receivers, one of over 64 KB by the kernel. A reply counts only when all its pages have come, so the one entry cost the whole reply, and each one after it for as long as it stayed.

Change: a registration with a name of over 1 KB is not valid, wherever it comes from; as with other entries that can't be read, it names no server to use.

--- a/core/version/agateinstance/instance.go
+++ b/core/version/agateinstance/instance.go
@@ -29,8 +29,14 @@
 	Gone State = "gone"
 )
 
-// maxSlots is the maximum number of slots of a registration.
-const maxSlots = 1 << 12
+// Limits on the content of a registration.
+const (
+	// maxSlots is the maximum number of slots.
+	maxSlots = 1 << 12
+	// maxNameLength is the maximum length of the names of a service and a data centre,
+	// in bytes, so that a page with any registration fits into one datagram.
+	maxNameLength = 1 << 10
+)
 
 // TokenSalts is the number of flow tokens of an instance. Another one is used when
 // the first collides with a token of another instance.
@@ -79,11 +85,12 @@
 	// store's era. Of two records of an incarnation the later one is valid.
 	Revision int64  `cbor:"3,keyasint"`
 	Era      uint32 `cbor:"10,keyasint,omitempty"`
-	// Service is the name of the service that the server provides; not empty.
+	// Service is the name of the service that the server provides; not empty, and at
+	// most maxNameLength bytes long.
 	Service string `cbor:"4,keyasint"`
 	// Address is where the server receives packets; IPv4.
 	Address netip.AddrPort `cbor:"5,keyasint"`
-	// Centre is the name of the server's data centre.
+	// Centre is the name of the server's data centre, at most maxNameLength bytes long.
 	Centre string `cbor:"6,keyasint"`
 	// Slots is the number of requests that the server runs concurrently, 1 to
 	// maxSlots.
@@ -103,8 +110,10 @@
 // Check returns a *FieldError if a field is not valid.
 func (i Instance) Check() error {
 	switch {
-	case i.Service == "":
+	case i.Service == "" || len(i.Service) > maxNameLength:
 		return &FieldError{ID: i.ID, Field: "service"}
+	case len(i.Centre) > maxNameLength:
+		return &FieldError{ID: i.ID, Field: "centre"}
 	case !i.Address.IsValid() || !i.Address.Addr().Is4() || i.Address.Port() == 0:
 		return &FieldError{ID: i.ID, Field: "address"}
 	case i.Slots < 1 || i.Slots > maxSlots:
--- a/core/version/agateinstance/instance_test.go
+++ b/core/version/agateinstance/instance_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/netip"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -22,19 +23,24 @@
 	if err := valid().Check(); err != nil {
 		t.Error(err)
 	}
-	for field, invalidate := range map[string]func(*agateinstance.Instance){
-		"service":  func(i *agateinstance.Instance) { i.Service = "" },
-		"address":  func(i *agateinstance.Instance) { i.Address = netip.MustParseAddrPort("[::1]:80") },
-		"slots":    func(i *agateinstance.Instance) { i.Slots = 0 },
-		"state":    func(i *agateinstance.Instance) { i.State = "unsupported" },
-		"cold":     func(i *agateinstance.Instance) { i.WarmUp = -1 },
-		"revision": func(i *agateinstance.Instance) { i.Revision = 0 },
+	for _, c := range []struct {
+		field      string
+		invalidate func(*agateinstance.Instance)
+	}{
+		{"service", func(i *agateinstance.Instance) { i.Service = "" }},
+		{"service", func(i *agateinstance.Instance) { i.Service = strings.Repeat("s", 1<<10+1) }},
+		{"centre", func(i *agateinstance.Instance) { i.Centre = strings.Repeat("c", 1<<10+1) }},
+		{"address", func(i *agateinstance.Instance) { i.Address = netip.MustParseAddrPort("[::1]:80") }},
+		{"slots", func(i *agateinstance.Instance) { i.Slots = 0 }},
+		{"state", func(i *agateinstance.Instance) { i.State = "unsupported" }},
+		{"cold", func(i *agateinstance.Instance) { i.WarmUp = -1 }},
+		{"revision", func(i *agateinstance.Instance) { i.Revision = 0 }},
 	} {
 		invalid := valid()
-		invalidate(&invalid)
+		c.invalidate(&invalid)
 		var fieldErr *agateinstance.FieldError
-		if err := invalid.Check(); !errors.As(err, &fieldErr) || fieldErr.Field != field {
-			t.Errorf("%s: %v", field, err)
+		if err := invalid.Check(); !errors.As(err, &fieldErr) || fieldErr.Field != c.field {
+			t.Errorf("%s: %v", c.field, err)
 		}
 	}
 }
