Convert numbers of milliseconds and seconds alike on all processors

What callers would see: entries on x86-64 and on arm64 hold different servers after one registration with an absurd cold_left_ms, and compare unequal for as long as it stays.

Cause: Go leaves the conversion of a float that doesn't fit an integer to the processor. 1e300 ms became the lowest integer on x86-64, which the check refused, and the highest on arm64, which it took; there the end of the warm-up overflowed, and the server counted as warm. The same stood in the product's own interface: Retry-After of the platform, where 1e10 s asked for a negative wait on x86-64, and NaN for none.

A Retry-After that is no number counts as none.

What x86-64 did is read from the language's specification and the instruction's, not run here.

--- a/core/version/agateinstance/instance.go
+++ b/core/version/agateinstance/instance.go
@@ -36,6 +36,8 @@
 	// maxNameLength is the maximum length of the names of a service and a data centre,
 	// in bytes, so that a page with any registration fits into one datagram.
 	maxNameLength = 1 << 10
+	// maxWarmUp is the longest warm-up. Times computed from it don't overflow.
+	maxWarmUp = 24 * time.Hour
 )
 
 // TokenSalts is the number of flow tokens of an instance. Another one is used when
@@ -103,7 +105,7 @@
 	// written. Of two records of the same position the one with the later era is valid.
 	StateEra uint32 `cbor:"11,keyasint,omitempty"`
 	// WarmUp is the remaining time, counted from the record, during which the
-	// server is slow because it has just started.
+	// server is slow because it has just started; 0 to maxWarmUp.
 	WarmUp time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
@@ -120,7 +122,7 @@
 		return &FieldError{ID: i.ID, Field: "slots"}
 	case i.State != Ready && i.State != Draining && i.State != Gone:
 		return &FieldError{ID: i.ID, Field: "state"}
-	case i.WarmUp < 0:
+	case i.WarmUp < 0 || i.WarmUp > maxWarmUp:
 		return &FieldError{ID: i.ID, Field: "cold"}
 	case i.Revision < 1:
 		return &FieldError{ID: i.ID, Field: "revision"}
--- a/core/version/agateinstance/instance_test.go
+++ b/core/version/agateinstance/instance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"net/netip"
 	"strings"
 	"testing"
@@ -34,6 +35,7 @@
 		{"slots", func(i *agateinstance.Instance) { i.Slots = 0 }},
 		{"state", func(i *agateinstance.Instance) { i.State = "unsupported" }},
 		{"cold", func(i *agateinstance.Instance) { i.WarmUp = -1 }},
+		{"cold", func(i *agateinstance.Instance) { i.WarmUp = math.MaxInt64 }},
 		{"revision", func(i *agateinstance.Instance) { i.Revision = 0 }},
 	} {
 		invalid := valid()
--- a/entry/process/agatesource/source.go
+++ b/entry/process/agatesource/source.go
@@ -156,13 +156,13 @@
 	return u.String()
 }
 
-// asked reads a Retry-After header in seconds.
+// asked reads a Retry-After header in seconds. A header that is no number counts as none.
 func asked(header string) time.Duration {
 	seconds, err := strconv.ParseFloat(header, 64)
-	if err != nil || seconds < 0 {
+	if err != nil || !(seconds >= 0) {
 		return limitWait
 	}
-	return min(time.Duration(seconds*float64(time.Second)), maxAsked)
+	return time.Duration(min(seconds, maxAsked.Seconds()) * float64(time.Second))
 }
 
 // String names the source for logs.
--- a/entry/process/agatesource/source_test.go
+++ b/entry/process/agatesource/source_test.go
@@ -92,6 +92,17 @@
 	}
 }
 
+// TestAskedWait guards against waits that are converted from numbers out of range.
+func TestAskedWait(t *testing.T) {
+	for header, want := range map[string]time.Duration{
+		"3": 3 * time.Second, "1e300": maxAsked, "1e10": maxAsked, "Inf": maxAsked, "NaN": limitWait, "-1": limitWait, "": limitWait, "soon": limitWait,
+	} {
+		if got := asked(header); got != want {
+			t.Errorf("Retry-After %q: %s, want %s", header, got, want)
+		}
+	}
+}
+
 func TestNextAddressAfterFailure(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte(`{"version":2,"vms":[]}`))
