--- a/core/process/agatesteer/steer.go
+++ b/core/process/agatesteer/steer.go
@@ -258,11 +258,10 @@
 	return ok && vip.Kind == agatevip.Idempotent
 }
 
-// terminated reports whether a deregistered server has certainly stopped: it
-// has been replaced, or it doesn't answer. One
-// unanswered segment isn't enough for the last case, since it may have been
-// lost, and a server may serve its flows for a while after its registration is
-// gone.
+// terminated reports whether a deregistered server has certainly stopped: it has
+// been replaced, or it doesn't answer. One unanswered segment isn't enough for the
+// latter, since it may have been lost, and a server may serve its flows for a while
+// after its registration is gone.
 func (s *Steerer) terminated(gone *server, f *flow, event agatetrack.Event, now time.Duration) bool {
 	if s.catalog.Replaced(gone.instance) {
 		return true
--- a/core/version/agatecatalog/catalog.go
+++ b/core/version/agatecatalog/catalog.go
@@ -128,8 +128,9 @@
 }
 
 // Replaced reports whether no flow of the incarnation can be open anywhere: its server
-// has restarted at another address, or a server that started later has its address, since an address is
-// reused only after its server has ended. A restart at the same address isn't sufficient; see Successor.
+// has restarted at another address, or a server that started later has its address, since
+// an address is reused only after its server has ended. A restart at the same address
+// isn't sufficient; see Successor.
 func (c *Catalog) Replaced(instance agateinstance.Instance) bool {
 	latest, held := c.Newest(instance.ID)
 	if held && latest.StartTime > instance.StartTime && latest.Address != instance.Address {
