Refuse registrations whose start time is out of range

What callers would see: after one entry with a start time near the end of int64 at a living server's key, that server gets no flow any more, though it writes its own entry again at its next beat.

Cause: the incarnation with the highest start time counts as the newest one of an id, and nothing bounded that time. A negative one was taken, too.

Change: a start time below 0 or after the year 2200 is not valid; the entry names no server to use, and the next one at its key does.

--- a/core/process/agatemerge/merge_test.go
+++ b/core/process/agatemerge/merge_test.go
@@ -154,6 +154,34 @@
 	}
 }
 
+// TestEarlierStartTime guards against ignoring a server whose former incarnation has a
+// later start time, because a clock was set back or another writer made it up: of the
+// records under one key the one written last is in force.
+func TestEarlierStartTime(t *testing.T) {
+	m := agatemerge.New(policy)
+	first, odd := newRecord(1, 1, agateinstance.Ready), newRecord(1, 2, agateinstance.Ready)
+	odd.StartTime = 1 << 40
+	m.Apply(changes(2, first, odd), 0)
+	restarted := newRecord(1, 3, agateinstance.Ready)
+	restarted.StartTime = first.StartTime - 1
+	for _, record := range []agateinstance.Instance{newRecord(1, 3, agateinstance.Ready), restarted} {
+		for i, want := range []agateinstance.State{agateinstance.Ready, agateinstance.Draining} {
+			record.State, record.Revision = want, m.Catalog().Revision()+1
+			m.Apply(changes(record.Revision, record), 0)
+			if got, _ := m.Catalog().Newest(1); got.Key != record.Key || got.State != want {
+				t.Errorf("write %d: newest started at %d, %s; want %d, %s", i, got.StartTime, got.State, record.StartTime, want)
+			}
+		}
+	}
+	m.Apply(removal(1, m.Catalog().Revision()+1), 0)
+	m.Tick(time.Minute / 2)
+	for held := range m.Catalog().All() {
+		if held.State != agateinstance.Gone {
+			t.Errorf("incarnation %d is %s after the removal, want gone", held.StartTime, held.State)
+		}
+	}
+}
+
 // TestMonotone applies random deliveries, with losses and repetitions, and checks
 // that version, position and floor never decrease and that a record is never
 // replaced by an older one, whatever eras the deliveries are from.
--- a/core/process/agatesync/fleet_test.go
+++ b/core/process/agatesync/fleet_test.go
@@ -37,6 +37,8 @@
 	// registrations and removals are by server id; removals holds revisions.
 	registrations map[uint64]agateinstance.Instance
 	removals      map[uint64]int64
+	// starts holds the start times of the servers that have restarted.
+	starts map[uint64]int64
 	// down is whether all reads fail. calls counts the reads, including those that
 	// fail.
 	down  bool
@@ -44,7 +46,7 @@
 }
 
 func newStore() *store {
-	return &store{era: 1, registrations: make(map[uint64]agateinstance.Instance), removals: make(map[uint64]int64)}
+	return &store{era: 1, registrations: make(map[uint64]agateinstance.Instance), removals: make(map[uint64]int64), starts: make(map[uint64]int64)}
 }
 
 // write registers a server in the given state.
@@ -52,7 +54,7 @@
 	s.revision++
 	delete(s.removals, id)
 	s.registrations[id] = agateinstance.Instance{
-		Key: agateinstance.Key{ID: id, StartTime: 1}, Era: s.era, Revision: s.revision, Service: "map", Centre: "a", Slots: 3, State: state,
+		Key: agateinstance.Key{ID: id, StartTime: 1 + s.starts[id]}, Era: s.era, Revision: s.revision, Service: "map", Centre: "a", Slots: 3, State: state,
 		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(id >> 8), byte(id)}), 80),
 	}
 }
@@ -327,8 +329,8 @@
 		report("%s holds version %d, want %d", e.address, catalog.Version(), f.store.config.Version)
 	}
 	for id, want := range f.store.registrations {
-		if got, _ := catalog.Newest(id); got.State != want.State {
-			report("%s holds server %d as %q, want %q", e.address, id, got.State, want.State)
+		if got, _ := catalog.Newest(id); got.State != want.State || got.StartTime != want.StartTime {
+			report("%s holds server %d, started at %d, as %q, want %d, %q", e.address, id, got.StartTime, got.State, want.StartTime, want.State)
 		}
 	}
 	for id := range f.store.removals {
--- a/core/process/agatesync/restore_test.go
+++ b/core/process/agatesync/restore_test.go
@@ -307,7 +307,7 @@
 func (m *restoreModel) step(r *rapid.T) {
 	e := rapid.SampledFrom(m.entries).Draw(r, "entry")
 	id := rapid.Uint64Range(1, 8).Draw(r, "id")
-	switch rapid.SampledFrom([]string{"config", "ready", "draining", "remove", "copy", "restore", "repeat", "block", "isolate", "restart"}).Draw(r, "step") {
+	switch rapid.SampledFrom([]string{"config", "ready", "draining", "remove", "again", "copy", "restore", "repeat", "block", "isolate", "restart"}).Draw(r, "step") {
 	case "config":
 		m.version++
 		m.store.configure(m.version, rapid.IntRange(1, 5).Draw(r, "vips"))
@@ -317,6 +317,9 @@
 		m.write(id, agateinstance.Draining)
 	case "remove":
 		m.write(id, "")
+	case "again":
+		m.store.starts[id]++
+		m.write(id, agateinstance.Ready)
 	case "copy":
 		m.copies = append(m.copies, m.store.copy())
 	case "restore":
@@ -350,7 +353,8 @@
 // repeat lets the servers write again what the store has lost.
 func (m *restoreModel) repeat() {
 	for _, id := range slices.Sorted(maps.Keys(m.states)) {
-		if m.store.registrations[id].State != m.states[id] {
+		registered := m.store.registrations[id]
+		if registered.State != m.states[id] || registered.State != "" && registered.StartTime != 1+m.store.starts[id] {
 			m.write(id, m.states[id])
 		}
 	}
--- a/core/version/agateinstance/instance.go
+++ b/core/version/agateinstance/instance.go
@@ -38,6 +38,9 @@
 	maxNameLength = 1 << 10
 	// maxWarmUp is the longest warm-up. Times computed from it don't overflow.
 	maxWarmUp = 24 * time.Hour
+	// maxStartTime is the highest start time in Unix milliseconds, in the year 2200. A
+	// server with a later one could not be followed by another incarnation.
+	maxStartTime = 7258118400000
 )
 
 // TokenSalts is the number of flow tokens of an instance. Another one is used when
@@ -62,7 +65,7 @@
 type Key struct {
 	// ID is the server's id.
 	ID uint64 `cbor:"1,keyasint"`
-	// StartTime is the start time in Unix milliseconds.
+	// StartTime is the start time in Unix milliseconds, 0 to maxStartTime.
 	StartTime int64 `cbor:"2,keyasint"`
 }
 
@@ -114,6 +117,8 @@
 	switch {
 	case i.Service == "" || len(i.Service) > maxNameLength:
 		return &FieldError{ID: i.ID, Field: "service"}
+	case i.StartTime < 0 || i.StartTime > maxStartTime:
+		return &FieldError{ID: i.ID, Field: "start time"}
 	case len(i.Centre) > maxNameLength:
 		return &FieldError{ID: i.ID, Field: "centre"}
 	case !i.Address.IsValid() || !i.Address.Addr().Is4() || i.Address.Port() == 0:
--- a/core/version/agateinstance/instance_test.go
+++ b/core/version/agateinstance/instance_test.go
@@ -31,6 +31,8 @@
 		{"service", func(i *agateinstance.Instance) { i.Service = "" }},
 		{"service", func(i *agateinstance.Instance) { i.Service = strings.Repeat("s", 1<<10+1) }},
 		{"centre", func(i *agateinstance.Instance) { i.Centre = strings.Repeat("c", 1<<10+1) }},
+		{"start time", func(i *agateinstance.Instance) { i.StartTime = math.MaxInt64 }},
+		{"start time", func(i *agateinstance.Instance) { i.StartTime = -1 }},
 		{"address", func(i *agateinstance.Instance) { i.Address = netip.MustParseAddrPort("[::1]:80") }},
 		{"slots", func(i *agateinstance.Instance) { i.Slots = 0 }},
 		{"state", func(i *agateinstance.Instance) { i.State = "unsupported" }},
