Log a server that is registered at two addresses with one start time

Entries take the record of another writer under a server's id and start time for the server's own, and forward its flows to the address there. A segment that is forwarded elsewhere leaves no line in any log, so no operator can tell this from a server that is silent. The log names the server and both addresses now; nothing else changes.

TestContradicted is new; there was nothing to fail before.

--- a/core/version/agatecatalog/catalog.go
+++ b/core/version/agatecatalog/catalog.go
@@ -188,6 +188,20 @@
 	return slices.Collect(maps.Keys(changed))
 }
 
+// Contradicted returns the registrations of an earlier catalog whose incarnation is
+// registered at another address now: one of the two isn't the server's own.
+func (c *Catalog) Contradicted(earlier *Catalog) []agateinstance.Instance {
+	var contradicted []agateinstance.Instance
+	same := func(a, b agateinstance.Instance) bool { return a.Address == b.Address }
+	for key := range c.instances.Changes(earlier.instances, same) {
+		before, known := earlier.instances.Get(key)
+		if _, held := c.instances.Get(key); known && held {
+			contradicted = append(contradicted, before)
+		}
+	}
+	return contradicted
+}
+
 // Token returns the token for new flows of an incarnation: the first of its
 // tokens that no other incarnation has. It returns false if there is none; the
 // incarnation can't take new flows then.
--- a/core/version/agatecatalog/catalog_test.go
+++ b/core/version/agatecatalog/catalog_test.go
@@ -121,6 +121,22 @@
 	})
 }
 
+// TestContradicted checks that a registration at another address with the same start time
+// is reported once, and a restart isn't.
+func TestContradicted(t *testing.T) {
+	own := newInstance(1, 1, 1)
+	odd, restarted := newInstance(1, 1, 2), newInstance(1, 2, 3)
+	odd.Address = netip.MustParseAddrPort("10.9.9.9:80")
+	c := new(agatecatalog.Catalog)
+	for i, want := range []int{0, 1, 0} {
+		next := withInstances(c, []agateinstance.Instance{own, odd, restarted}[i])
+		if got := next.Contradicted(c); len(got) != want || want == 1 && got[0].Key != own.Key {
+			t.Errorf("record %d: %+v, want %d", i+1, got, want)
+		}
+		c = next
+	}
+}
+
 // TestOlderConfigIgnored checks that only a configuration with a higher version
 // is applied, and that the previous catalog stays as it was.
 func TestOlderConfigIgnored(t *testing.T) {
--- a/entry/process/agatekeeper/keeper.go
+++ b/entry/process/agatekeeper/keeper.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"agatereach/core/connection/agatesocket"
@@ -284,7 +285,8 @@
 	k.handlers.View(view)
 }
 
-// logChange logs a configuration that is newly in force, and a restore of the store.
+// logChange logs a configuration that is newly in force, a restore of the store, and
+// registrations that contradict each other.
 func (k *Keeper) logChange(catalog *agatecatalog.Catalog, source string) {
 	before := k.publishedView.Catalog
 	if before == nil {
@@ -298,6 +300,12 @@
 		k.log.Warn("store: restored", "era", at.Era, "revision", at.Revision, "from_era", was.Era, "from_revision", was.Revision,
 			"version", catalog.Version(), "carried", countCarried(catalog), "source", source)
 	}
+	if contradicted := catalog.Contradicted(before); len(contradicted) > 0 {
+		first := contradicted[0]
+		in, _ := catalog.Newest(first.ID)
+		k.log.Warn("store: server registered at two addresses with one start time", "server", strconv.FormatUint(first.ID, 16),
+			"address", in.Address, "before", first.Address, "servers", len(contradicted), "source", source)
+	}
 }
 
 // countCarried returns the number of incarnations whose state is known from an earlier era.
