Know an incarnation of a server by its address too

Callers saw: segments of an open flow went to another address for as long as an entry of another writer stood under the server's id, up to an interval of the server's own writes. By the addresses alone it was "its packets went to other back ends".

Cause: a record was taken for the server's own if id and start time were the same. It replaced the server's address, and with it the way of all flows whose tokens name the incarnation, at each entry, also at those that follow the flow. The class: a fact that can't change was read from the last message about it.

Change: the address is part of the key of an incarnation and of the hash that tokens come from. A record with another address is another incarnation; of several with one start time the one written last gets new flows, the others keep theirs, and none counts as replaced. An entry that knows the other writer's record only drops segments until the server writes again, rather than send them elsewhere. Weighed: to keep the first address known, or the last one, in the same incarnation. Both differ between entries that began at different times, and one that began in between would keep the wrong one for good.

TestContradictingRecords checks the same of the catalog in all orders of records.

The key holds the address in 6 bytes without a pointer (agateaddress).

--- a/bench/agatefarm/farm.go
+++ b/bench/agatefarm/farm.go
@@ -55,7 +55,7 @@
 
 // Start starts a server as registered. The error is the socket's.
 func (f *Farm) Start(instance agateinstance.Instance) error {
-	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(instance.Address))
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(instance.Address.AddrPort()))
 	if err != nil {
 		return err
 	}
--- a/bench/agatefarm/server.go
+++ b/bench/agatefarm/server.go
@@ -67,7 +67,7 @@
 			return
 		}
 		sender := from.Addr().Unmap()
-		if s.frozen.Load() || s.farm.partition.Cut(sender, s.instance.Address.Addr()) {
+		if s.frozen.Load() || s.farm.partition.Cut(sender, s.instance.Address.AddrPort().Addr()) {
 			continue
 		}
 		s.farm.Path(sender, s.instance.Centre).Pass(buffer[:size], func(datagram []byte) { s.datagram(sender, datagram) })
--- a/bench/agatesoak/servers.go
+++ b/bench/agatesoak/servers.go
@@ -9,6 +9,7 @@
 	"agatereach/bench/agateplan"
 	"agatereach/bench/agatepromise"
 	"agatereach/core/process/agatedump"
+	"agatereach/core/request/agateaddress"
 	"agatereach/core/version/agatecatalog"
 	"agatereach/core/version/agateinstance"
 	"agatereach/core/version/agatevip"
@@ -37,9 +38,13 @@
 
 // boot starts a server at the address of a place and registers it.
 func (s *soak) boot(place int, id uint64, service string) error {
+	address, err := agateaddress.From(s.ground.At(agateground.Server, place, serverPort))
+	if err != nil {
+		return err
+	}
 	instance := agateinstance.Instance{
-		Key: agateinstance.Key{ID: id, StartTime: time.Now().UnixMilli()}, Revision: 1, Service: service,
-		Address: s.ground.At(agateground.Server, place, serverPort), Centre: s.ground.Centre(place),
+		Key:      agateinstance.Key{ID: id, StartTime: time.Now().UnixMilli(), Address: address},
+		Revision: 1, Service: service, Centre: s.ground.Centre(place),
 		Slots: slots, State: agateinstance.Ready,
 	}
 	if err := s.farm.Start(instance); err != nil {
@@ -99,7 +104,7 @@
 func (s *soak) give(instance agateinstance.Instance) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.servers[agateground.Place(instance.Address.Addr())] = instance
+	s.servers[agateground.Place(instance.Address.AddrPort().Addr())] = instance
 }
 
 // makeServerStep makes a step that meets servers or the configuration.
@@ -138,7 +143,7 @@
 func (s *soak) crash(step agateplan.Step, server agateinstance.Instance) {
 	s.record.Troubled(server.Key, s.now(), agatepromise.Forever)
 	s.farm.Stop(server.Key)
-	place := agateground.Place(server.Address.Addr())
+	place := agateground.Place(server.Address.AddrPort().Addr())
 	if !step.Deep {
 		s.sleep(step.For)
 		s.check(s.boot(place, server.ID, server.Service))
@@ -233,9 +238,14 @@
 func (s *soak) compare(name string, dump agatedump.Dump) {
 	held := make(map[agateinstance.Key]bool)
 	for _, each := range dump.Servers {
-		if each.State == agateinstance.Ready {
-			held[agateinstance.Key{ID: each.ID, StartTime: each.StartTime}] = true
+		if each.State != agateinstance.Ready {
+			continue
+		}
+		address, err := agateaddress.From(each.Address)
+		if err != nil {
+			s.record.Broke(agatepromise.Process, s.now(), "%s holds server %x: %v", name, each.ID, err)
 		}
+		held[agateinstance.Key{ID: each.ID, StartTime: each.StartTime, Address: address}] = true
 	}
 	for _, each := range s.registered() {
 		if !held[each.Key] {
--- a/core/process/agatemerge/merge_test.go
+++ b/core/process/agatemerge/merge_test.go
@@ -1,13 +1,13 @@
 package agatemerge_test
 
 import (
-	"net/netip"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"agatereach/core/process/agatemerge"
+	"agatereach/core/request/agateaddress"
 	"agatereach/core/version/agatecatalog"
 	"agatereach/core/version/agatechange"
 	"agatereach/core/version/agateinstance"
@@ -17,8 +17,7 @@
 
 func newRecord(id uint64, revision int64, state agateinstance.State) agateinstance.Instance {
 	return agateinstance.Instance{
-		Key: agateinstance.Key{ID: id, StartTime: 1}, Revision: revision, Service: "map", Centre: "a", Slots: 3, State: state,
-		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(id)}), 80),
+		Key: agateinstance.Key{ID: id, StartTime: 1, Address: agateaddress.Address{IP: [4]byte{10, 0, 0, byte(id)}, Port: 80}}, Revision: revision, Service: "map", Centre: "a", Slots: 3, State: state,
 	}
 }
 
--- a/core/process/agatemerge/restore_test.go
+++ b/core/process/agatemerge/restore_test.go
@@ -1,11 +1,11 @@
 package agatemerge_test
 
 import (
-	"net/netip"
 	"testing"
 	"time"
 
 	"agatereach/core/process/agatemerge"
+	"agatereach/core/request/agateaddress"
 	"agatereach/core/version/agatechange"
 	"agatereach/core/version/agateinstance"
 	"agatereach/core/version/agateposition"
@@ -121,7 +121,7 @@
 	var records []agateinstance.Instance
 	for id := range uint64(servers) {
 		record := newRecord(id+1, int64(id+1), agateinstance.Ready)
-		record.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(id >> 16), byte(id >> 8), byte(id)}), 80)
+		record.Address = agateaddress.Address{IP: [4]byte{10, byte(id >> 16), byte(id >> 8), byte(id)}, Port: 80}
 		records = append(records, record)
 	}
 	m := agatemerge.New(policy)
--- a/core/process/agatenotice/notice_test.go
+++ b/core/process/agatenotice/notice_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"agatereach/core/process/agatenotice"
+	"agatereach/core/request/agateaddress"
 	"agatereach/core/request/agateload"
 	"agatereach/core/version/agateinstance"
 )
@@ -24,8 +25,8 @@
 
 func newPage() *agatenotice.Page {
 	return &agatenotice.Page{From: 1, To: 4, Index: 1, Total: 3, Instances: []agateinstance.Instance{{
-		Key: agateinstance.Key{ID: 1 << 40, StartTime: 1700000000000}, Revision: 4, Service: "map", Centre: "a", Slots: 3,
-		State: agateinstance.Draining, Address: address,
+		Key: agateinstance.Key{ID: 1 << 40, StartTime: 1700000000000, Address: agateaddress.Address{IP: [4]byte{10, 0, 0, 1}, Port: 80}}, Revision: 4, Service: "map", Centre: "a", Slots: 3,
+		State: agateinstance.Draining,
 	}}}
 }
 
--- a/core/process/agatesteer/dump.go
+++ b/core/process/agatesteer/dump.go
@@ -20,7 +20,7 @@
 func (s *Steerer) dumpServer(known *server, now time.Duration) agatedump.Server {
 	return agatedump.Server{
 		ID: known.instance.ID, StartTime: known.instance.StartTime, Service: known.instance.Service,
-		Address: known.instance.Address, Centre: known.instance.Centre, State: known.instance.State,
+		Address: known.instance.Address.AddrPort(), Centre: known.instance.Centre, State: known.instance.State,
 		Pending: len(known.pendingFlows) + len(known.handshakes), Open: known.openFlows, OtherRequests: known.peerLoad.pending,
 		Silent:          s.centreUnreachable(known) || known.silence.Suspected(s.policy.Silence),
 		FailureShare:    known.totalFailureEvidence().FailureProbability(s.policy.Answers),
--- a/core/process/agatesteer/load_test.go
+++ b/core/process/agatesteer/load_test.go
@@ -3,12 +3,12 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net/netip"
 	"runtime"
 	"testing"
 	"time"
 
 	"agatereach/core/process/agatesteer"
+	"agatereach/core/request/agateaddress"
 	"agatereach/core/request/agatesegment"
 	"agatereach/core/version/agateinstance"
 )
@@ -200,9 +200,8 @@
 				var all []agateinstance.Instance
 				for id := range uint64(servers) {
 					all = append(all, agateinstance.Instance{
-						Key: agateinstance.Key{ID: id + 1, StartTime: 1}, Revision: int64(id) + 1, Service: fmt.Sprint("service-", id%1000),
+						Key: agateinstance.Key{ID: id + 1, StartTime: 1, Address: agateaddress.Address{IP: [4]byte{10, byte(id >> 16), byte(id >> 8), byte(id)}, Port: 80}}, Revision: int64(id) + 1, Service: fmt.Sprint("service-", id%1000),
 						Centre: fmt.Sprint("centre-", id%20), Slots: 3, State: agateinstance.Ready,
-						Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(id >> 16), byte(id >> 8), byte(id)}), 80),
 					})
 				}
 				fx.catalog, _ = fx.catalog.WithInstances(all)
@@ -223,9 +222,8 @@
 	for id := range uint64(servers) {
 		fx.revision++
 		all = append(all, agateinstance.Instance{
-			Key: agateinstance.Key{ID: id + 1, StartTime: 1}, Revision: fx.revision, Service: "map",
+			Key: agateinstance.Key{ID: id + 1, StartTime: 1, Address: agateaddress.Address{IP: [4]byte{10, byte(id >> 16), byte(id >> 8), byte(id)}, Port: 80}}, Revision: fx.revision, Service: "map",
 			Centre: string(rune('a' + id%3)), Slots: 3, State: agateinstance.Ready,
-			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(id >> 16), byte(id >> 8), byte(id)}), 80),
 		})
 	}
 	fx.catalog, _ = fx.catalog.WithInstances(all)
--- a/core/process/agatesteer/registration_test.go
+++ b/core/process/agatesteer/registration_test.go
@@ -1,25 +1,25 @@
 package agatesteer_test
 
 import (
-	"net/netip"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"agatereach/core/process/agatesteer"
+	"agatereach/core/request/agateaddress"
 	"agatereach/core/request/agateload"
 	"agatereach/core/version/agateinstance"
 	"agatereach/core/version/agatevip"
 )
 
 // otherAddress is an address that no server of fixture.server has.
-var otherAddress = netip.MustParseAddrPort("10.0.0.99:80")
+var otherAddress = agateaddress.Address{IP: [4]byte{10, 0, 0, 99}, Port: 80}
 
 // expectForward checks that a segment is passed on to an incarnation.
 func expectForward(t testing.TB, v agatesteer.Verdict, to agateinstance.Instance) {
 	t.Helper()
-	if v.Action != agatesteer.Forward || v.Server != to.ID || v.Address != to.Address {
+	if v.Action != agatesteer.Forward || v.Server != to.ID || v.Address != to.Address.AddrPort() {
 		t.Errorf("%s (%s) to %x at %s, want forward to %x at %s", v.Action, v.Reason, v.Server, v.Address, to.ID, to.Address)
 	}
 }
@@ -193,6 +193,20 @@
 	c.exchange(t, own)
 }
 
+// TestOddEntryKnownFirstMovesNoFlows guards against segments that go elsewhere at an entry
+// that knows a server by another writer's entry only, until the server writes again.
+func TestOddEntryKnownFirstMovesNoFlows(t *testing.T) {
+	fx := newFixture(t)
+	own := agateinstance.Instance{Key: keyOf(1), Service: "map", Centre: "a", Slots: 3, State: agateinstance.Ready}
+	fx.write(own, func(i *agateinstance.Instance) { i.Address = otherAddress })
+	c := fx.openedElsewhere(own)
+	if v := c.request(); v.Action != agatesteer.Drop || v.Reason != agatesteer.UnknownToken {
+		t.Errorf("other entry alone known: %s (%s), want drop (foreign)", v.Action, v.Reason)
+	}
+	fx.write(own, func(*agateinstance.Instance) {})
+	expectForward(t, c.retransmit(), own)
+}
+
 // TestServerBackAtAddressKeepsFlows guards against resets of a server's flows that it took
 // after it had come back to the address of a former start and before it was registered
 // there: they name that start, and the entry learns of the one in between, elsewhere.
@@ -214,10 +228,10 @@
 	seen := make(map[uint32]uint64)
 	var own agateinstance.Instance
 	for id := uint64(1); own.ID == 0; id++ {
-		token := agateinstance.Key{ID: id, StartTime: 1}.Token(0)
+		token := keyOf(id).Token(0)
 		if other, taken := seen[token]; taken {
 			fx.server(other, "a", agateinstance.Ready)
-			own.Key = agateinstance.Key{ID: id, StartTime: 1}
+			own.Key = keyOf(id)
 		}
 		seen[token] = id
 	}
@@ -463,7 +477,7 @@
 }
 
 // free reports whether no server runs under an id or at an address.
-func (r *registry) free(id uint64, address netip.AddrPort) bool {
+func (r *registry) free(id uint64, address agateaddress.Address) bool {
 	for _, p := range r.processes {
 		if !p.ended && (p.record.ID == id || p.record.Address == address) {
 			return false
@@ -475,7 +489,7 @@
 // start starts a server. A server under an id that was there before starts at its last
 // address, and its flow then names the last start that was registered, unless another
 // server has had the address since.
-func (r *registry) start(id uint64, address netip.AddrPort) {
+func (r *registry) start(id uint64, address agateaddress.Address) {
 	named := agateinstance.Instance{}
 	for _, p := range r.processes {
 		switch {
@@ -492,8 +506,8 @@
 		return
 	}
 	record := agateinstance.Instance{
-		Key: agateinstance.Key{ID: id, StartTime: int64(len(r.processes) + 1)}, Service: "map", Centre: "a", Slots: 3,
-		State: agateinstance.Ready, Address: address,
+		Key: agateinstance.Key{ID: id, StartTime: int64(len(r.processes) + 1), Address: address}, Service: "map", Centre: "a", Slots: 3,
+		State: agateinstance.Ready,
 	}
 	if named.ID == 0 {
 		named = record
@@ -519,7 +533,7 @@
 		r := &registry{fx: newFixture(t)}
 		states := []agateinstance.State{agateinstance.Ready, agateinstance.Draining, agateinstance.Gone}
 		for range rapid.IntRange(5, 60).Draw(rt, "steps") {
-			r.start(rapid.Uint64Range(1, 4).Draw(rt, "id"), netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(rapid.IntRange(1, 2).Draw(rt, "address"))}), 80))
+			r.start(rapid.Uint64Range(1, 4).Draw(rt, "id"), agateaddress.Address{IP: [4]byte{10, 0, 0, byte(rapid.IntRange(1, 2).Draw(rt, "address"))}, Port: 80})
 			p := rapid.SampledFrom(append(r.processes, &process{ended: true})).Draw(rt, "process")
 			switch rapid.IntRange(0, 5).Draw(rt, "event") {
 			case 0:
@@ -537,7 +551,7 @@
 				continue
 			}
 			for _, v := range []agatesteer.Verdict{p.flow.request(), p.flow.receiveResponse()} {
-				moved := v.Action == agatesteer.Forward && v.Address != p.record.Address
+				moved := v.Action == agatesteer.Forward && v.Address != p.record.Address.AddrPort()
 				if v.Action == agatesteer.Reset || moved {
 					rt.Fatalf("%s (%s) to %s, want the flow kept at %s", v.Action, v.Reason, v.Address, p.record.Address)
 				}
--- a/core/process/agatesteer/review_test.go
+++ b/core/process/agatesteer/review_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -131,7 +130,7 @@
 	steps = append(steps, calls[1].unansweredRequest(700*ms, 1)...)
 	steps = append(steps, calls[2].unansweredRequest(1700*ms, 1)...)
 	fx.revision++
-	server.StartTime, server.Revision, server.Address = 2, fx.revision, netip.MustParseAddrPort("10.0.0.99:80")
+	server.StartTime, server.Revision, server.Address = 2, fx.revision, otherAddress
 	fx.register(server)
 	expectNoResets(t, fx.play(2*time.Second, false, steps), calls...)
 }
--- a/core/process/agatesteer/silence_test.go
+++ b/core/process/agatesteer/silence_test.go
@@ -1,7 +1,6 @@
 package agatesteer_test
 
 import (
-	"net/netip"
 	"testing"
 	"time"
 
@@ -69,7 +68,7 @@
 	for name, change := range map[string]func(*agateinstance.Instance){
 		"started elsewhere": func(i *agateinstance.Instance) {
 			i.StartTime++
-			i.Address = netip.MustParseAddrPort("10.0.0.99:80")
+			i.Address = otherAddress
 		},
 		"address taken": func(i *agateinstance.Instance) { i.ID, i.Service = 77, "intake" },
 	} {
@@ -88,7 +87,7 @@
 			toFormer := func(send func() agatesteer.Verdict) func() agatesteer.Verdict {
 				return func() agatesteer.Verdict {
 					v := send()
-					if v.Action == agatesteer.Forward && (v.Server != former.ID || v.Address != former.Address) {
+					if v.Action == agatesteer.Forward && (v.Server != former.ID || v.Address != former.Address.AddrPort()) {
 						t.Errorf("forwarded to server %x at %s", v.Server, v.Address)
 					}
 					if v.Action == agatesteer.Reset && v.Reason != agatesteer.Ended {
@@ -137,7 +136,7 @@
 					if resets := fx.run(400 * ms); len(resets) > 0 {
 						t.Fatalf("the flow was reset (%s)", resets[0].Reason)
 					}
-					if v := send(); v.Action != agatesteer.Forward || v.Server != former.ID || v.Address != former.Address {
+					if v := send(); v.Action != agatesteer.Forward || v.Server != former.ID || v.Address != former.Address.AddrPort() {
 						t.Fatalf("%s (%s) to %s, want forward to %s", v.Action, v.Reason, v.Address, former.Address)
 					}
 				}
@@ -153,7 +152,7 @@
 	seen := make(map[uint32]uint64)
 	var first, second uint64
 	for id := uint64(1); first == 0; id++ {
-		token := agateinstance.Key{ID: id, StartTime: 1}.Token(0)
+		token := keyOf(id).Token(0)
 		first, second = seen[token], id
 		seen[token] = id
 	}
--- a/core/process/agatesteer/simulation_test.go
+++ b/core/process/agatesteer/simulation_test.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"math/rand/v2"
-	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -408,8 +407,7 @@
 func (m *modelServer) register(state agateinstance.State) {
 	m.s.revision++
 	m.s.catalog, _ = m.s.catalog.WithInstances([]agateinstance.Instance{{
-		Key: agateinstance.Key{ID: m.id, StartTime: 1}, Revision: m.s.revision, Service: "map", Centre: m.Centre, Slots: 8, State: state,
-		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(m.id)}), 80),
+		Key: keyOf(m.id), Revision: m.s.revision, Service: "map", Centre: m.Centre, Slots: 8, State: state,
 	}})
 	newest := m.s.catalog
 	for _, each := range m.s.entries {
@@ -635,7 +633,7 @@
 func (s *simulation) crashed() []*try {
 	var found []*try
 	for _, srv := range s.servers {
-		token, _ := s.catalog.Token(agateinstance.Key{ID: srv.id, StartTime: 1})
+		token, _ := s.catalog.Token(keyOf(srv.id))
 		for _, each := range s.tries {
 			begun := each.sentAt < srv.CrashAt+crashCheck && (each.endedAt == 0 || each.endedAt > srv.CrashAt)
 			if srv.CrashAt > 0 && each.token == token && each.kind == agatevip.Idempotent && begun {
--- a/core/process/agatesteer/steer.go
+++ b/core/process/agatesteer/steer.go
@@ -160,7 +160,7 @@
 	if v.server == nil {
 		return
 	}
-	v.Server, v.Address = v.server.instance.ID, v.server.instance.Address
+	v.Server, v.Address = v.server.instance.ID, v.server.instance.Address.AddrPort()
 	e.UnansweredFlows = v.server.silence.TotalEvidence().Flows
 	e.LocalFlows = v.server.silence.LocalEvidence().Flows
 	e.Reporters = v.server.reporters()
@@ -280,7 +280,7 @@
 func (s *Steerer) forward(to *server, token uint32, reason Reason) Verdict {
 	return Verdict{
 		Action: Forward, Reason: reason,
-		Server: to.instance.ID, Address: to.instance.Address, Token: token, server: to,
+		Server: to.instance.ID, Address: to.instance.Address.AddrPort(), Token: token, server: to,
 	}
 }
 
--- a/core/process/agatesteer/world_test.go
+++ b/core/process/agatesteer/world_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"agatereach/core/process/agatesteer"
+	"agatereach/core/request/agateaddress"
 	"agatereach/core/request/agatesegment"
 	"agatereach/core/request/agatetuple"
 	"agatereach/core/version/agatecatalog"
@@ -60,12 +61,16 @@
 	fx.steerer.Confirm(fx.now)
 }
 
+// keyOf returns the key of the server with an id that fixture.server registers.
+func keyOf(id uint64) agateinstance.Key {
+	return agateinstance.Key{ID: id, StartTime: 1, Address: agateaddress.Address{IP: [4]byte{10, 0, 0, byte(id)}, Port: 80}}
+}
+
 // server registers a server.
 func (fx *fixture) server(id uint64, centre string, state agateinstance.State) agateinstance.Instance {
 	fx.revision++
 	instance := agateinstance.Instance{
-		Key: agateinstance.Key{ID: id, StartTime: 1}, Revision: fx.revision, Service: "map", Centre: centre, Slots: 3, State: state,
-		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(id)}), 80),
+		Key: keyOf(id), Revision: fx.revision, Service: "map", Centre: centre, Slots: 3, State: state,
 	}
 	fx.register(instance)
 	return instance
--- a/core/process/agatesync/fleet_test.go
+++ b/core/process/agatesync/fleet_test.go
@@ -12,6 +12,7 @@
 	"agatereach/core/process/agatemerge"
 	"agatereach/core/process/agatenotice"
 	"agatereach/core/process/agatesync"
+	"agatereach/core/request/agateaddress"
 	"agatereach/core/request/agateload"
 	"agatereach/core/version/agatecatalog"
 	"agatereach/core/version/agatechange"
@@ -54,8 +55,7 @@
 	s.revision++
 	delete(s.removals, id)
 	s.registrations[id] = agateinstance.Instance{
-		Key: agateinstance.Key{ID: id, StartTime: 1 + s.starts[id]}, Era: s.era, Revision: s.revision, Service: "map", Centre: "a", Slots: 3, State: state,
-		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(id >> 8), byte(id)}), 80),
+		Key: agateinstance.Key{ID: id, StartTime: 1 + s.starts[id], Address: agateaddress.Address{IP: [4]byte{10, 0, byte(id >> 8), byte(id)}, Port: 80}}, Era: s.era, Revision: s.revision, Service: "map", Centre: "a", Slots: 3, State: state,
 	}
 }
 
--- a/core/version/agatecatalog/catalog.go
+++ b/core/version/agatecatalog/catalog.go
@@ -4,12 +4,12 @@
 package agatecatalog
 
 import (
-	"cmp"
 	"iter"
 	"maps"
 	"net/netip"
 	"slices"
 
+	"agatereach/core/request/agateaddress"
 	"agatereach/core/version/agateinstance"
 	"agatereach/core/version/agateposition"
 	"agatereach/core/version/agateshard"
@@ -40,13 +40,15 @@
 	vips map[netip.AddrPort]agatevip.VIP
 	// instances holds all known incarnations, including those that are gone.
 	instances agateshard.Map[agateinstance.Key, agateinstance.Instance]
-	// newest holds the key of the newest incarnation of each server id.
+	// newest holds the key of the newest incarnation of each server id. Of two with the
+	// same start time, of which only one can be the server's own, it is the one that was
+	// written later.
 	newest agateshard.Map[uint64, agateinstance.Key]
 	// tokens holds the incarnations that have a token; more than one is a
 	// collision.
 	tokens agateshard.Map[uint32, []agateinstance.Key]
 	// byAddress holds the incarnation in service at each address.
-	byAddress agateshard.Map[netip.AddrPort, agateinstance.Key]
+	byAddress agateshard.Map[agateaddress.Address, agateinstance.Key]
 	// digest is the exclusive or of the digests of all instances.
 	digest uint64
 	// floor is the position after which every removal is still held as an
@@ -133,7 +135,7 @@
 // sufficient; see Successor.
 func (c *Catalog) Replaced(instance agateinstance.Instance) bool {
 	latest, held := c.Newest(instance.ID)
-	if held && latest.Key != instance.Key && latest.Address != instance.Address && follows(latest, instance) {
+	if held && latest.StartTime > instance.StartTime && latest.Address != instance.Address && follows(latest, instance) {
 		return true
 	}
 	key, _ := c.byAddress.Get(instance.Address)
@@ -149,9 +151,7 @@
 
 // Instances returns all known incarnations, ordered by id and start time.
 func (c *Catalog) Instances() []agateinstance.Instance {
-	return slices.SortedFunc(c.All(), func(a, b agateinstance.Instance) int {
-		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.StartTime, b.StartTime))
-	})
+	return slices.SortedFunc(c.All(), func(a, b agateinstance.Instance) int { return a.Compare(b.Key) })
 }
 
 // All returns all known incarnations, in no particular order.
@@ -188,15 +188,16 @@
 	return slices.Collect(maps.Keys(changed))
 }
 
-// Contradicted returns the registrations of an earlier catalog whose incarnation is
-// registered at another address now: one of the two isn't the server's own.
+// Contradicted returns the incarnations whose registration is another one than in an
+// earlier catalog because their server is registered with the same start time at another
+// address: one of the two isn't the server's own.
 func (c *Catalog) Contradicted(earlier *Catalog) []agateinstance.Instance {
 	var contradicted []agateinstance.Instance
-	same := func(a, b agateinstance.Instance) bool { return a.Address == b.Address }
+	same := func(a, b agateinstance.Instance) bool { return a == b }
 	for key := range c.instances.Changes(earlier.instances, same) {
-		before, known := earlier.instances.Get(key)
-		if _, held := c.instances.Get(key); known && held {
-			contradicted = append(contradicted, before)
+		instance, _ := c.instances.Get(key)
+		if newest, held := c.newest.Get(key.ID); held && instance.State == agateinstance.Gone && newest != key && newest.StartTime == key.StartTime {
+			contradicted = append(contradicted, instance)
 		}
 	}
 	return contradicted
--- a/core/version/agatecatalog/catalog_test.go
+++ b/core/version/agatecatalog/catalog_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	"agatereach/core/request/agateaddress"
 	"agatereach/core/version/agatecatalog"
 	"agatereach/core/version/agateinstance"
 	"agatereach/core/version/agateposition"
@@ -16,8 +17,7 @@
 
 func newInstance(id uint64, born, revision int64) agateinstance.Instance {
 	return agateinstance.Instance{
-		Key: agateinstance.Key{ID: id, StartTime: born}, Revision: revision, Service: "map", Centre: "a", Slots: 3, State: agateinstance.Ready,
-		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(id >> 16), byte(id >> 8), byte(id)}), 80),
+		Key: agateinstance.Key{ID: id, StartTime: born, Address: agateaddress.Address{IP: [4]byte{10, byte(id >> 16), byte(id >> 8), byte(id)}, Port: 80}}, Revision: revision, Service: "map", Centre: "a", Slots: 3, State: agateinstance.Ready,
 	}
 }
 
@@ -31,7 +31,7 @@
 	t.Helper()
 	seen := make(map[uint32]agateinstance.Key)
 	for id := uint64(1); id < 1<<20; id++ {
-		key := agateinstance.Key{ID: id, StartTime: 1}
+		key := newInstance(id, 1, 1).Key
 		if other, ok := seen[key.Token(0)]; ok {
 			return other, key
 		}
@@ -121,12 +121,52 @@
 	})
 }
 
+// TestContradictingRecords adds records of one server with one start time and several
+// addresses in random orders, and checks that the one written last is in force, that the
+// others keep their addresses and tokens, and that none replaces another as an earlier start.
+func TestContradictingRecords(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var records []agateinstance.Instance
+		for i := range rapid.IntRange(1, 8).Draw(t, "records") {
+			record := newInstance(1, 1, int64(i+1))
+			record.Address.IP[3] = byte(rapid.IntRange(1, 3).Draw(t, "address"))
+			records = append(records, record)
+		}
+		last := records[len(records)-1]
+		sequential := withInstances(new(agatecatalog.Catalog), records...)
+		permuted := new(agatecatalog.Catalog)
+		for _, record := range rapid.Permutation(records).Draw(t, "order") {
+			permuted = withInstances(permuted, record)
+		}
+		if sequential.Digest() != permuted.Digest() {
+			t.Fatal("digests differ between two orders")
+		}
+		for _, c := range []*agatecatalog.Catalog{sequential, permuted} {
+			if got, _ := c.Newest(1); got != last {
+				t.Fatalf("newest is %+v, want %+v", got, last)
+			}
+			for _, record := range records {
+				held, _ := c.Instance(record.Key)
+				if record.Key != last.Key && held.State != agateinstance.Gone {
+					t.Fatalf("%+v is in force beside %+v", held, last)
+				}
+				if found, lookup := c.Find(record.Token(0)); lookup != agatecatalog.Found || found.Address != record.Address {
+					t.Fatalf("token of %s: lookup %s, address %s", record.Address, lookup, found.Address)
+				}
+				if c.Replaced(held) {
+					t.Fatalf("%+v is replaced by another record of the same start", held)
+				}
+			}
+		}
+	})
+}
+
 // TestContradicted checks that a registration at another address with the same start time
 // is reported once, and a restart isn't.
 func TestContradicted(t *testing.T) {
 	own := newInstance(1, 1, 1)
 	odd, restarted := newInstance(1, 1, 2), newInstance(1, 2, 3)
-	odd.Address = netip.MustParseAddrPort("10.9.9.9:80")
+	odd.Address.Port++
 	c := new(agatecatalog.Catalog)
 	for i, want := range []int{0, 1, 0} {
 		next := withInstances(c, []agateinstance.Instance{own, odd, restarted}[i])
@@ -164,7 +204,7 @@
 	const start = 5
 	former := newInstance(1, start, 1)
 	elsewhere := func(i agateinstance.Instance) agateinstance.Instance {
-		i.Address = netip.MustParseAddrPort("10.9.9.9:80")
+		i.Address = agateaddress.Address{IP: [4]byte{10, 9, 9, 9}, Port: 80}
 		return i
 	}
 	at := func(i agateinstance.Instance) agateinstance.Instance {
@@ -201,7 +241,7 @@
 	}
 	elsewhere := func(id uint64, born, revision int64) agateinstance.Instance {
 		i := newInstance(id, born, revision)
-		i.Address = netip.MustParseAddrPort("10.9.9.9:80")
+		i.Address = agateaddress.Address{IP: [4]byte{10, 9, 9, 9}, Port: 80}
 		return i
 	}
 	for name, records := range map[string][]agateinstance.Instance{
@@ -224,7 +264,7 @@
 	former := newInstance(1, 5, 1)
 	again := newInstance(1, 6, 2)
 	elsewhere := newInstance(1, 7, 3)
-	elsewhere.Address = netip.MustParseAddrPort("10.9.9.9:80")
+	elsewhere.Address = agateaddress.Address{IP: [4]byte{10, 9, 9, 9}, Port: 80}
 	c := withInstances(new(agatecatalog.Catalog), former)
 	for _, step := range []struct{ added, want agateinstance.Key }{
 		{former.Key, former.Key}, {again.Key, again.Key}, {elsewhere.Key, former.Key},
--- a/core/version/agatecatalog/draft.go
+++ b/core/version/agatecatalog/draft.go
@@ -1,10 +1,10 @@
 package agatecatalog
 
 import (
-	"net/netip"
 	"slices"
 	"unique"
 
+	"agatereach/core/request/agateaddress"
 	"agatereach/core/version/agateinstance"
 	"agatereach/core/version/agateposition"
 	"agatereach/core/version/agateshard"
@@ -18,7 +18,7 @@
 	instances *agateshard.Editor[agateinstance.Key, agateinstance.Instance]
 	newest    *agateshard.Editor[uint64, agateinstance.Key]
 	tokens    *agateshard.Editor[uint32, []agateinstance.Key]
-	byAddress *agateshard.Editor[netip.AddrPort, agateinstance.Key]
+	byAddress *agateshard.Editor[agateaddress.Address, agateinstance.Key]
 }
 
 // start creates the editors of the catalog's maps if they don't exist yet.
@@ -51,20 +51,30 @@
 	if _, known := d.instances.Get(record.Key); !known {
 		d.addTokens(record.Key)
 	}
-	latest, known := d.newest.Get(record.ID)
+	key, known := d.newest.Get(record.ID)
+	latest, _ := d.instances.Get(key)
 	switch {
-	case !known || record.StartTime > latest.StartTime:
+	case !known || newer(record, latest):
 		d.newest.Set(record.ID, record.Key)
 		if known {
-			d.markGone(latest, record.Position())
+			d.markGone(key, record.Position())
 		}
-	case record.StartTime < latest.StartTime:
+	case record.Key != key:
 		record.State = agateinstance.Gone
 	}
 	d.set(record)
 	d.updateAddress(record)
 }
 
+// newer reports whether a record is of a newer incarnation than the newest known one: by
+// their start times, or by their positions if those are the same.
+func newer(record, latest agateinstance.Instance) bool {
+	if record.StartTime != latest.StartTime {
+		return record.StartTime > latest.StartTime
+	}
+	return record.Address != latest.Address && record.Position().After(latest.Position())
+}
+
 // set stores a record and updates the digest.
 func (d *draft) set(record agateinstance.Instance) {
 	if former, known := d.instances.Get(record.Key); known {
--- a/core/version/agateinstance/instance.go
+++ b/core/version/agateinstance/instance.go
@@ -3,14 +3,15 @@
 package agateinstance
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/binary"
 	"fmt"
-	"net/netip"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"agatereach/core/request/agateaddress"
 	"agatereach/core/version/agateposition"
 )
 
@@ -61,21 +62,34 @@
 }
 
 // Key identifies an incarnation. A server that restarts under the same id has
-// another key.
+// another key. An incarnation never changes its address, so a registration under its id
+// with another one is not its own.
 type Key struct {
 	// ID is the server's id.
 	ID uint64 `cbor:"1,keyasint"`
 	// StartTime is the start time in Unix milliseconds, 0 to maxStartTime.
 	StartTime int64 `cbor:"2,keyasint"`
+	// Address is where the server receives packets; its port is not 0.
+	Address agateaddress.Address `cbor:"5,keyasint"`
+}
+
+// Compare orders keys by id, start time and address.
+func (k Key) Compare(other Key) int {
+	return cmp.Or(
+		cmp.Compare(k.ID, other.ID), cmp.Compare(k.StartTime, other.StartTime),
+		bytes.Compare(k.Address.IP[:], other.Address.IP[:]), cmp.Compare(k.Address.Port, other.Address.Port),
+	)
 }
 
 // Token returns the flow token of the incarnation for a salt below TokenSalts.
 // It is never 0, contains the salt, and is the same in every process.
 func (k Key) Token(salt uint32) uint32 {
-	var input [20]byte
+	var input [26]byte
 	binary.BigEndian.PutUint64(input[:], k.ID)
 	binary.BigEndian.PutUint64(input[8:], uint64(k.StartTime))
 	binary.BigEndian.PutUint32(input[16:], salt)
+	copy(input[20:], k.Address.IP[:])
+	binary.BigEndian.PutUint16(input[24:], k.Address.Port)
 	hash := uint32(xxhash.Sum64(input[:]))
 	return max(hash-hash%TokenSalts, TokenSalts) + salt%TokenSalts
 }
@@ -93,8 +107,6 @@
 	// Service is the name of the service that the server provides; not empty, and at
 	// most maxNameLength bytes long.
 	Service string `cbor:"4,keyasint"`
-	// Address is where the server receives packets; IPv4.
-	Address netip.AddrPort `cbor:"5,keyasint"`
 	// Centre is the name of the server's data centre, at most maxNameLength bytes long.
 	Centre string `cbor:"6,keyasint"`
 	// Slots is the number of requests that the server runs concurrently, 1 to
@@ -121,7 +133,7 @@
 		return &FieldError{ID: i.ID, Field: "start time"}
 	case len(i.Centre) > maxNameLength:
 		return &FieldError{ID: i.ID, Field: "centre"}
-	case !i.Address.IsValid() || !i.Address.Addr().Is4() || i.Address.Port() == 0:
+	case i.Address.Port == 0:
 		return &FieldError{ID: i.ID, Field: "address"}
 	case i.Slots < 1 || i.Slots > maxSlots:
 		return &FieldError{ID: i.ID, Field: "slots"}
@@ -144,11 +156,13 @@
 	if i.State == Gone {
 		return 0
 	}
-	var input [32]byte
+	var input [40]byte
 	binary.BigEndian.PutUint64(input[:], i.ID)
 	binary.BigEndian.PutUint64(input[8:], uint64(i.StartTime))
 	binary.BigEndian.PutUint64(input[16:], uint64(i.Revision))
 	copy(input[24:], i.State)
+	copy(input[32:], i.Address.IP[:])
+	binary.BigEndian.PutUint16(input[36:], i.Address.Port)
 	return xxhash.Sum64(input[:])
 }
 
--- a/core/version/agateinstance/instance_test.go
+++ b/core/version/agateinstance/instance_test.go
@@ -3,19 +3,19 @@
 import (
 	"errors"
 	"math"
-	"net/netip"
 	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
 
+	"agatereach/core/request/agateaddress"
 	"agatereach/core/version/agateinstance"
 )
 
 func valid() agateinstance.Instance {
 	return agateinstance.Instance{
-		Key: agateinstance.Key{ID: 1, StartTime: 1}, Revision: 1, Service: "map", Centre: "a", Slots: 3,
-		State: agateinstance.Ready, Address: netip.MustParseAddrPort("10.0.0.1:80"),
+		Key: agateinstance.Key{ID: 1, StartTime: 1, Address: agateaddress.Address{IP: [4]byte{10, 0, 0, 1}, Port: 80}}, Revision: 1, Service: "map", Centre: "a", Slots: 3,
+		State: agateinstance.Ready,
 	}
 }
 
@@ -33,7 +33,7 @@
 		{"centre", func(i *agateinstance.Instance) { i.Centre = strings.Repeat("c", 1<<10+1) }},
 		{"start time", func(i *agateinstance.Instance) { i.StartTime = math.MaxInt64 }},
 		{"start time", func(i *agateinstance.Instance) { i.StartTime = -1 }},
-		{"address", func(i *agateinstance.Instance) { i.Address = netip.MustParseAddrPort("[::1]:80") }},
+		{"address", func(i *agateinstance.Instance) { i.Address.Port = 0 }},
 		{"slots", func(i *agateinstance.Instance) { i.Slots = 0 }},
 		{"state", func(i *agateinstance.Instance) { i.State = "unsupported" }},
 		{"cold", func(i *agateinstance.Instance) { i.WarmUp = -1 }},
--- a/entry/process/agatedirect/fixture_test.go
+++ b/entry/process/agatedirect/fixture_test.go
@@ -17,6 +17,7 @@
 
 	"agatereach/core/process/agatedump"
 	"agatereach/core/process/agatesetup"
+	"agatereach/core/request/agateaddress"
 	"agatereach/core/request/agatesegment"
 	"agatereach/core/request/agatetuple"
 	"agatereach/core/version/agatecatalog"
@@ -276,9 +277,10 @@
 func newFakeStore(servers ...*net.UDPConn) *fakeStore {
 	s := &fakeStore{changed: make(chan struct{}), state: agatechange.Changes{Revision: 5, Config: config(1)}}
 	for i, server := range servers {
+		address, _ := agateaddress.From(server.LocalAddr().(*net.UDPAddr).AddrPort())
 		s.state.Instances = append(s.state.Instances, agateinstance.Instance{
-			Key: agateinstance.Key{ID: uint64(i + 1), StartTime: 1}, Revision: int64(i + 1), Service: "map", Centre: "a", Slots: 3,
-			State: agateinstance.Ready, Address: server.LocalAddr().(*net.UDPAddr).AddrPort(),
+			Key: agateinstance.Key{ID: uint64(i + 1), StartTime: 1, Address: address}, Revision: int64(i + 1), Service: "map", Centre: "a", Slots: 3,
+			State: agateinstance.Ready,
 		})
 	}
 	return s
