Soak: write another writer's entry under a server's id

The step "claim" registers a server in order, with its start time, at the address and with the service of another one, or where none is, until the server writes its own entry again, at most 1.2 s later.

--- a/bench/agateplan/plan.go
+++ b/bench/agateplan/plan.go
@@ -71,6 +71,10 @@
 	// Lapse takes away the registration of a backend server, or Deep of several, for
 	// the step's time.
 	Lapse Kind = "lapse"
+	// Claim writes a registration under a backend server's id, with its start time and
+	// another address: that of another server, or Deep one where none is. The server
+	// writes its own again after the step's time.
+	Claim Kind = "claim"
 	// Slow makes a share of the requests take long.
 	Slow Kind = "slow"
 	// Late makes a share of the callers' packets arrive once more, late.
@@ -127,6 +131,10 @@
 	// greatest age of a copy.
 	restoreGap = 10 * time.Second
 	maxAge     = 10 * time.Second
+	// claimGap is the time between two steps of kind Claim, on average, and maxClaim the
+	// longest time of one: the interval at which servers write.
+	claimGap = 6 * time.Second
+	maxClaim = 1200 * time.Millisecond
 	// servingGap is the time between two steps of serving kinds, on average.
 	servingGap = 900 * time.Millisecond
 	minFor     = 200 * time.Millisecond
@@ -152,6 +160,7 @@
 	}
 	steps = append(steps, restores(seed, begin, end)...)
 	steps = append(steps, servingSteps(seed, begin, end)...)
+	steps = append(steps, claims(seed, begin, end)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
@@ -190,6 +199,22 @@
 	}
 }
 
+// claims draws the steps of kind Claim, from a source of their own.
+func claims(seed uint64, begin, end time.Duration) []Step {
+	random := rand.New(rand.NewPCG(seed, seed^0xc1a1))
+	var steps []Step
+	for at := begin; ; {
+		at += time.Duration(random.ExpFloat64() * float64(claimGap))
+		if at >= end {
+			return steps
+		}
+		step := draw(random, at, end)
+		step.Kind = Claim
+		step.For = min(minFor+time.Duration(random.Float64()*float64(maxClaim-minFor)), end-at)
+		steps = append(steps, step)
+	}
+}
+
 // draw returns a step at a time.
 func draw(random *rand.Rand, at, end time.Duration) Step {
 	lasts := minFor + time.Duration(random.Float64()*random.Float64()*float64(maxFor-minFor))
--- a/bench/agateplan/plan_test.go
+++ b/bench/agateplan/plan_test.go
@@ -45,7 +45,7 @@
 			}
 		}
 	}
-	const kinds = 27
+	const kinds = 28
 	if len(found) != kinds || overlap == 0 {
 		t.Errorf("%d kinds, %d overlaps", len(found), overlap)
 	}
--- a/bench/agatesoak/serving.go
+++ b/bench/agatesoak/serving.go
@@ -39,6 +39,8 @@
 		s.linger(step)
 	case agateplan.Lapse:
 		s.lapse(step)
+	case agateplan.Claim:
+		s.claim(step)
 	case agateplan.Slow:
 		defer s.crowd.Slow()()
 		s.sleep(step.For)
@@ -132,6 +134,25 @@
 	s.end(server)
 }
 
+// claim registers a server at an address that isn't its own, until it registers again.
+func (s *soak) claim(step agateplan.Step) {
+	server, ok := s.take(step.Place)
+	if !ok {
+		return
+	}
+	claimed := server
+	if others := s.registered(); len(others) > 0 && !step.Deep {
+		other := others[int(step.Place>>8)%len(others)]
+		claimed.Address, claimed.Service = other.Address, other.Service
+	} else {
+		claimed.Address.Port++
+	}
+	s.store.Register(claimed)
+	s.sleep(step.For)
+	s.store.Register(server)
+	s.give(server)
+}
+
 // lapse takes registrations away of servers that serve on, and brings them back.
 func (s *soak) lapse(step agateplan.Step) {
 	count := 1
--- a/bench/agatesoak/steps.go
+++ b/bench/agatesoak/steps.go
@@ -101,7 +101,7 @@
 		heal()
 	case agateplan.CutCentre:
 		s.cutCentre(step, place)
-	case agateplan.Back, agateplan.Outward, agateplan.Full, agateplan.Linger, agateplan.Lapse, agateplan.Slow, agateplan.Late:
+	case agateplan.Back, agateplan.Outward, agateplan.Full, agateplan.Linger, agateplan.Lapse, agateplan.Claim, agateplan.Slow, agateplan.Late:
 		s.makeServingStep(step, place)
 	default:
 		s.makeServerStep(step)
