--- a/core/request/agateforward/forward_test.go
+++ b/core/request/agateforward/forward_test.go
@@ -149,6 +149,21 @@
 	}
 }
 
+// TestTicketMovesNoFlow guards against segments that go elsewhere because a later ticket
+// gives the flow's server another address and keeps its incarnation.
+func TestTicketMovesNoFlow(t *testing.T) {
+	before := view()
+	moved := *before.Server(7)
+	moved.Address = other
+	batch := agatebatch.Batch{Upto: 6, Head: 6, Tickets: []agateticket.Ticket{{Number: 6, Servers: []agateserver.Server{moved}}}}
+	after := agateview.New(before.State().With(&batch), before)
+	h := agateheader.Header{Kind: agatekind.Data, Service: 1, Flow: 11, Token: seal(token(), ring)}
+	var f agateforward.Forward
+	if err := f.Decide(after, &h, &agateforward.Origin{Caller: caller, Listen: listen, Centre: 1}, &secret, now); err == nil && f.Address == other {
+		t.Errorf("%s to %s, where the flow's server never was", f.Action, f.Address)
+	}
+}
+
 func TestCheckReturn(t *testing.T) {
 	route := agateroute.Route{Caller: caller, Service: 1, Server: 7, Incarnation: 3, Customer: 4, Centre: 1}
 	route.Tag = route.Sum(&secret)
