Let no record of a gone incarnation stand for one at another address

Callers' new flows stayed away from it there; open flows were not touched.

An entry that took it over first held it for the newest of the two, marked the server's own as gone at that position, and refused the server's own record as no later one. And a removal that an entry knew for one address didn't end the other one, written before it, at an entry that knew that.

Change: of two records with one start time only one in use can be the newest, and a gone one ends what was written before it in the same era.

--- a/core/process/agatesync/fleet_test.go
+++ b/core/process/agatesync/fleet_test.go
@@ -50,15 +50,29 @@
 	return &store{era: 1, registrations: make(map[uint64]agateinstance.Instance), removals: make(map[uint64]int64), starts: make(map[uint64]int64)}
 }
 
+// keyOf returns the key of a server that has restarted the given number of times.
+func keyOf(id uint64, restarts int64) agateinstance.Key {
+	return agateinstance.Key{ID: id, StartTime: 1 + restarts, Address: agateaddress.Address{IP: [4]byte{10, 0, byte(id >> 8), byte(id)}, Port: 80}}
+}
+
 // write registers a server in the given state.
 func (s *store) write(id uint64, state agateinstance.State) {
 	s.revision++
 	delete(s.removals, id)
 	s.registrations[id] = agateinstance.Instance{
-		Key: agateinstance.Key{ID: id, StartTime: 1 + s.starts[id], Address: agateaddress.Address{IP: [4]byte{10, 0, byte(id >> 8), byte(id)}, Port: 80}}, Era: s.era, Revision: s.revision, Service: "map", Centre: "a", Slots: 3, State: state,
+		Key: keyOf(id, s.starts[id]), Era: s.era, Revision: s.revision, Service: "map", Centre: "a", Slots: 3, State: state,
 	}
 }
 
+// claim registers a server at another address with its start time, as another writer's entry
+// does.
+func (s *store) claim(id uint64) {
+	s.write(id, agateinstance.Ready)
+	claimed := s.registrations[id]
+	claimed.Address.Port++
+	s.registrations[id] = claimed
+}
+
 // remove deletes a server's registration.
 func (s *store) remove(id uint64) {
 	s.revision++
@@ -329,8 +343,8 @@
 		report("%s holds version %d, want %d", e.address, catalog.Version(), f.store.config.Version)
 	}
 	for id, want := range f.store.registrations {
-		if got, _ := catalog.Newest(id); got.State != want.State || got.StartTime != want.StartTime {
-			report("%s holds server %d, started at %d, as %q, want %d, %q", e.address, id, got.StartTime, got.State, want.StartTime, want.State)
+		if got, _ := catalog.Newest(id); got.State != want.State || got.Key != want.Key {
+			report("%s holds server %d, started at %d at %s, as %q, want %d at %s, %q", e.address, id, got.StartTime, got.Address, got.State, want.StartTime, want.Address, want.State)
 		}
 	}
 	for id := range f.store.removals {
--- a/core/process/agatesync/restore_test.go
+++ b/core/process/agatesync/restore_test.go
@@ -307,7 +307,7 @@
 func (m *restoreModel) step(r *rapid.T) {
 	e := rapid.SampledFrom(m.entries).Draw(r, "entry")
 	id := rapid.Uint64Range(1, 8).Draw(r, "id")
-	switch rapid.SampledFrom([]string{"config", "ready", "draining", "remove", "again", "copy", "restore", "repeat", "block", "isolate", "restart"}).Draw(r, "step") {
+	switch rapid.SampledFrom([]string{"config", "ready", "draining", "remove", "again", "claim", "copy", "restore", "repeat", "block", "isolate", "restart"}).Draw(r, "step") {
 	case "config":
 		m.version++
 		m.store.configure(m.version, rapid.IntRange(1, 5).Draw(r, "vips"))
@@ -320,6 +320,10 @@
 	case "again":
 		m.store.starts[id]++
 		m.write(id, agateinstance.Ready)
+	case "claim":
+		if m.states[id] != "" {
+			m.store.claim(id)
+		}
 	case "copy":
 		m.copies = append(m.copies, m.store.copy())
 	case "restore":
@@ -354,7 +358,7 @@
 func (m *restoreModel) repeat() {
 	for _, id := range slices.Sorted(maps.Keys(m.states)) {
 		registered := m.store.registrations[id]
-		if registered.State != m.states[id] || registered.State != "" && registered.StartTime != 1+m.store.starts[id] {
+		if registered.State != m.states[id] || registered.State != "" && registered.Key != keyOf(id, m.store.starts[id]) {
 			m.write(id, m.states[id])
 		}
 	}
--- a/core/process/agatesync/sync_test.go
+++ b/core/process/agatesync/sync_test.go
@@ -288,7 +288,7 @@
 		f.add(int(e.address.Addr().As4()[3]), e.centre)
 	}
 	id := rapid.Uint64Range(1, 8).Draw(r, "server")
-	switch rapid.IntRange(0, 3).Draw(r, "change") {
+	switch rapid.IntRange(0, 4).Draw(r, "change") {
 	case 0:
 		f.store.write(id, agateinstance.Ready)
 	case 1:
@@ -297,6 +297,8 @@
 		f.store.remove(id)
 	case 3:
 		f.store.configure(version, rapid.IntRange(1, 60).Draw(r, "vips"))
+	case 4:
+		f.store.claim(id)
 	}
 }
 
--- a/core/version/agatecatalog/catalog_test.go
+++ b/core/version/agatecatalog/catalog_test.go
@@ -161,6 +161,62 @@
 	})
 }
 
+// withChange returns the catalog with a record, or with the removal of what it holds of
+// the record's server.
+func withChange(c *agatecatalog.Catalog, record agateinstance.Instance, removed bool) *agatecatalog.Catalog {
+	if !removed {
+		return withInstances(c, record)
+	}
+	newest, held := c.Newest(record.ID)
+	if !held {
+		return c
+	}
+	return withInstances(c, newest.WithState(agateinstance.Gone, record.Position()))
+}
+
+// TestContradictingRecordsSpread lets two catalogs take over each other's records of a
+// server with one start time and several addresses, of whose writes and removals each has
+// missed some, and checks that both then hold what the last of them says.
+func TestContradictingRecordsSpread(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var catalogs [2]*agatecatalog.Catalog
+		var last agateinstance.Instance
+		for i := range catalogs {
+			catalogs[i] = new(agatecatalog.Catalog)
+		}
+		for i := range rapid.IntRange(1, 8).Draw(t, "changes") {
+			record := newInstance(1, 1, int64(i+1))
+			record.Address.IP[3] = byte(rapid.IntRange(1, 3).Draw(t, "address"))
+			removed := rapid.IntRange(0, 3).Draw(t, "change") == 0
+			for j := range catalogs {
+				if !rapid.Bool().Draw(t, "seen") {
+					continue
+				}
+				if next := withChange(catalogs[j], record, removed); next != catalogs[j] {
+					catalogs[j], last = next, record
+					if removed {
+						last.State = agateinstance.Gone
+					}
+				}
+			}
+		}
+		for range 2 {
+			for j := range catalogs {
+				for _, record := range rapid.Permutation(catalogs[1-j].Instances()).Draw(t, "order") {
+					catalogs[j] = withInstances(catalogs[j], record)
+				}
+			}
+		}
+		if catalogs[0].Digest() != catalogs[1].Digest() {
+			t.Fatalf("digests differ: %+v, %+v", catalogs[0].Instances(), catalogs[1].Instances())
+		}
+		got, held := catalogs[0].Newest(1)
+		if inForce := held && got.State != agateinstance.Gone; inForce != (last.State == agateinstance.Ready) || inForce && got != last {
+			t.Fatalf("newest is %+v, the last change %+v", got, last)
+		}
+	})
+}
+
 // TestContradicted checks that a registration at another address with the same start time
 // is reported once, and a restart isn't.
 func TestContradicted(t *testing.T) {
--- a/core/version/agatecatalog/draft.go
+++ b/core/version/agatecatalog/draft.go
@@ -61,18 +61,31 @@
 		}
 	case record.Key != key:
 		record.State = agateinstance.Gone
+		if ends(record, latest) {
+			// Not as of the record's position: the newest one may have been written there.
+			d.markGone(key, latest.Position())
+		}
 	}
 	d.set(record)
 	d.updateAddress(record)
 }
 
+// ends reports whether the record of an incarnation that is gone says so of the newest one
+// as well: both are of one server and start, so what was written later under the server's
+// id has taken the place of both. Positions of different eras aren't compared, since a
+// restored source may list what was replaced before.
+func ends(record, latest agateinstance.Instance) bool {
+	return record.StartTime == latest.StartTime && record.Era == latest.Era && record.Revision > latest.Revision && latest.State != agateinstance.Gone
+}
+
 // newer reports whether a record is of a newer incarnation than the newest known one: by
-// their start times, or by their positions if those are the same.
+// their start times, or by their positions if those are the same. Then the one that was
+// written before is gone as of the position of the other one.
 func newer(record, latest agateinstance.Instance) bool {
 	if record.StartTime != latest.StartTime {
 		return record.StartTime > latest.StartTime
 	}
-	return record.Address != latest.Address && record.Position().After(latest.Position())
+	return record.Key != latest.Key && record.State != agateinstance.Gone && !latest.Position().After(record.Position())
 }
 
 // set stores a record and updates the digest.
