Apply a pending removal to whatever was registered before it

Callers' new flows went to a server that had been removed from the store: a record from before the removal, of a later start or another address, became known within the grace period, and the removal, kept by incarnation, ended the other one only. The record then stayed in use for good.

Pending removals are kept by the server's id: at the end of the grace period the newest registration is gone, unless it was written after the removal.

Evidence: TestRemovalEndsLaterKnownRecords fails before for both, "removed at 5, server at 10.0.0.1:80 is ready, registered at 0/3".

--- a/core/process/agatemerge/merge.go
+++ b/core/process/agatemerge/merge.go
@@ -43,8 +43,9 @@
 type Merger struct {
 	policy  Policy
 	catalog *agatecatalog.Catalog
-	// pending holds the removed registrations that are in their grace period.
-	pending map[agateinstance.Key]pendingRemoval
+	// pending holds the removed registrations that are in their grace period, by the id
+	// of the server: a record from before the removal may become known in that time.
+	pending map[uint64]pendingRemoval
 	// eraSince is when the catalog was first one of its era, and carried holds the
 	// incarnations whose state is known from an earlier era.
 	eraSince time.Duration
@@ -63,7 +64,7 @@
 		policy:      policy,
 		catalog:     &agatecatalog.Catalog{},
 		lastCatalog: &agatecatalog.Catalog{},
-		pending:     make(map[agateinstance.Key]pendingRemoval),
+		pending:     make(map[uint64]pendingRemoval),
 		goneSince:   make(map[agateinstance.Key]time.Duration),
 		carried:     make(map[agateinstance.Key]bool),
 		lastFailure: -policy.OutageGrace,
@@ -202,9 +203,10 @@
 // of incarnations that are not gone with the records applied.
 func (m *Merger) cancelRemovals(records []agateinstance.Instance) {
 	for _, record := range records {
-		pending, ok := m.pending[record.Key]
-		if ok && (record.Position().After(pending.position) || record.State == agateinstance.Gone) {
-			delete(m.pending, record.Key)
+		newest, _ := m.catalog.Newest(record.ID)
+		pending, ok := m.pending[record.ID]
+		if ok && (newest.Position().After(pending.position) || newest.State == agateinstance.Gone) {
+			delete(m.pending, record.ID)
 		}
 		if held, _ := m.catalog.Instance(record.Key); held.State != agateinstance.Gone {
 			delete(m.goneSince, record.Key)
@@ -245,12 +247,12 @@
 			m.catalog, _ = m.catalog.WithInstances([]agateinstance.Instance{updated})
 			continue
 		}
-		scheduled, known := m.pending[instance.Key]
+		scheduled, known := m.pending[instance.ID]
 		if !known {
 			scheduled.deadline = m.removalDeadline(instance, now)
 		}
 		scheduled.position = scheduled.position.Max(position)
-		m.pending[instance.Key] = scheduled
+		m.pending[instance.ID] = scheduled
 	}
 	m.Tick(now)
 }
@@ -280,12 +282,12 @@
 // expire marks the servers as gone whose grace period has ended.
 func (m *Merger) expire(now time.Duration) {
 	var expired []agateinstance.Instance
-	for key, pending := range m.pending {
+	for id, pending := range m.pending {
 		if now < pending.deadline {
 			continue
 		}
-		delete(m.pending, key)
-		instance, ok := m.catalog.Instance(key)
+		delete(m.pending, id)
+		instance, ok := m.catalog.Newest(id)
 		if ok && instance.State != agateinstance.Gone && !instance.Position().After(pending.position) {
 			// A record replaces another only with a later position.
 			expired = append(expired, instance.WithState(agateinstance.Gone, pending.position.Max(instance.Position().Next())))
--- a/core/process/agatemerge/merge_test.go
+++ b/core/process/agatemerge/merge_test.go
@@ -200,6 +200,26 @@
 	}
 }
 
+// TestRemovalEndsLaterKnownRecords guards against a server that stays in use after its
+// removal because a record from before the removal becomes known within the grace period:
+// of a later start, or of one that differs in the address.
+func TestRemovalEndsLaterKnownRecords(t *testing.T) {
+	first := newRecord(1, 1, agateinstance.Ready)
+	restarted, elsewhere := newRecord(1, 3, agateinstance.Ready), newRecord(1, 3, agateinstance.Ready)
+	restarted.StartTime++
+	elsewhere.Address.Port++
+	for _, late := range []agateinstance.Instance{restarted, elsewhere} {
+		m := agatemerge.New(policy)
+		m.Apply(changes(2, first), 0)
+		m.Apply(removal(1, 5), 0)
+		m.Apply(listing(0, 5, first.WithState(agateinstance.Gone, late.Position()), late), 0)
+		m.Tick(policy.RemovalGrace)
+		if got, _ := m.Catalog().Newest(1); got.State != agateinstance.Gone {
+			t.Errorf("removed at 5, server at %s is %s, registered at %s", got.Address, got.State, got.Position())
+		}
+	}
+}
+
 // TestMonotone applies random deliveries, with losses and repetitions, and checks
 // that version, position and floor never decrease and that a record is never
 // replaced by an older one, whatever eras the deliveries are from.
