Let no other entry's listing confirm a state carried over a restore

Callers' new flows stayed away from a server in order after a restore of the store, until it wrote something else: an entry whose time for old leases was over took a listing from another entry, in which the server's state was carried from before the restore as well, for the store's own word, and then refused the store's.

A listing with a carried state confirms nothing; the next read of the store is a listing.

Evidence: TestPeerConfirmsNoCarriedState fails before, "server listed as ready is draining".

--- a/core/process/agatemerge/merge.go
+++ b/core/process/agatemerge/merge.go
@@ -5,6 +5,7 @@
 package agatemerge
 
 import (
+	"slices"
 	"time"
 
 	"agatereach/core/version/agatecatalog"
@@ -164,7 +165,8 @@
 // withConfirmedStates returns a listing in which the states of those records are
 // confirmed that the catalog holds with a state from an earlier era.
 func (m *Merger) withConfirmedStates(c agatechange.Changes) agatechange.Changes {
-	if len(m.carried) == 0 {
+	// A listing with a carried state is another entry's, not the source's.
+	if len(m.carried) == 0 || slices.ContainsFunc(c.Instances, agateinstance.Instance.Carried) {
 		return c
 	}
 	records := make([]agateinstance.Instance, len(c.Instances))
--- a/core/process/agatemerge/restore_test.go
+++ b/core/process/agatemerge/restore_test.go
@@ -114,6 +114,23 @@
 	}
 }
 
+// TestPeerConfirmsNoCarriedState guards against a server that stays out of use because
+// another entry's listing, in which its state is carried from an earlier era as well, is
+// taken for the store's.
+func TestPeerConfirmsNoCarriedState(t *testing.T) {
+	known, listed := newRecord(1, 30, agateinstance.Draining), inEra(2, newRecord(1, 10, agateinstance.Ready))
+	m := restored(known, listing(2, 32, listed))
+	carried, _ := m.Catalog().Newest(1)
+	if !carried.Carried() {
+		t.Fatalf("state %s of era %d, want it carried", carried.State, carried.StateEra)
+	}
+	m.Apply(listing(2, 32, carried), 2*time.Second+policy.LeaseTime)
+	m.Apply(listing(2, 32, listed), 2*time.Second+policy.LeaseTime)
+	if got := state(m, 1); got != agateinstance.Ready {
+		t.Errorf("server listed as ready is %s", got)
+	}
+}
+
 // BenchmarkEnterEra enters a new era with a listing of the servers of the largest
 // supported deployment, unchanged.
 func BenchmarkEnterEra(b *testing.B) {
