Soak: a run in which a promise was not judged is not kept

Cause: a late machine was noted as a fault of all entries, so it moved the end of the last one; with the machine late in the last seconds no request was left to judge, and a run without a finding counted as kept. What had failed before the machine was late was dropped too.

Change: lateness is noted by itself and moves no end of the faults. Judge returns the promises that were not judged, Decide the verdict: broken, not judged or kept, in this order. A run is not judged if - less than 5% of the opened flows were judged by times (config, drain, flow), - no request ran (route), or none that must not run twice (twice), - fewer than 20 requests after the last fault were judged (recovery), - something broke that only the late machine excuses (config, drain, flow). No server that leaves, no reset, no stray segment and no second configuration is sound: there the flows that had none are judged. What drawn faults excuse is not promised and leaves nothing open. What arrives otherwise than it was written, a return to an older version and the processes at the end are excused by nothing.

The output names the promise and how much was judged, with the share of the opened flows; several runs end in a line with the numbers of verdicts and their seeds; the exit code is 4. "judged" counted flows and resets together and counts flows alone now.

--- a/bench/agatecommand/command.go
+++ b/bench/agatecommand/command.go
@@ -21,6 +21,8 @@
 	codeBroken = 1
 	codeUsage  = 2
 	codeFailed = 3
+	// codeNotJudged is that of runs in which no promise broke, and one was not judged.
+	codeNotJudged = 4
 	// codeInterrupted is that of a command that a signal ends, as shells give it.
 	codeInterrupted = 130
 )
@@ -37,6 +39,18 @@
 	return fmt.Sprintf("a promise broke in scenario %s with seed %d", e.Scenario, e.Seed)
 }
 
+// NotJudgedError reports a run in which no promise broke, and one was not judged.
+type NotJudgedError struct {
+	// Scenario names the scenario and Seed its seed.
+	Scenario string
+	Seed     uint64
+}
+
+// Error names the scenario and the seed.
+func (e *NotJudgedError) Error() string {
+	return fmt.Sprintf("a promise was not judged in scenario %s with seed %d", e.Scenario, e.Seed)
+}
+
 // FileError reports a scenario file that cannot be read.
 type FileError struct {
 	// Path names the file.
@@ -108,9 +122,12 @@
 	}
 	fmt.Fprintf(os.Stderr, "bench: %v\n", err)
 	var broken *BrokenError
+	var unjudged *NotJudgedError
 	switch {
 	case errors.As(err, &broken):
 		return codeBroken
+	case errors.As(err, &unjudged):
+		return codeNotJudged
 	case usage != nil, isUsage(err):
 		return codeUsage
 	}
--- a/bench/agatecommand/command_test.go
+++ b/bench/agatecommand/command_test.go
@@ -47,6 +47,7 @@
 	}{
 		"kept":        {nil, codeKept},
 		"broken":      {&BrokenError{Scenario: "demo", Seed: 1}, codeBroken},
+		"not judged":  {&NotJudgedError{Scenario: "soak", Seed: 1}, codeNotJudged},
 		"interrupted": {context.Canceled, codeInterrupted},
 		"faults":      {&FileError{Err: &agatescenario.FaultsError{}}, codeUsage},
 		"failed":      {errors.New("no room"), codeFailed},
--- a/bench/agatecrowd/user.go
+++ b/bench/agatecrowd/user.go
@@ -84,7 +84,7 @@
 			break
 		}
 	}
-	crowd.record.Asked(asked, got == answered)
+	crowd.record.Asked(asked, crowd.now(), got == answered)
 }
 
 // try sends a request once.
--- a/bench/agatepromise/judge.go
+++ b/bench/agatepromise/judge.go
@@ -16,18 +16,6 @@
 	strayTime  = 2 * time.Second
 )
 
-// Summary counts what was judged, so that a run in which nothing was can be told.
-type Summary struct {
-	// Openings and Resets count what was seen, and Judged those of both whose
-	// entry was in touch.
-	Openings, Resets, Judged int
-	Runs                     int
-	// Requests counts all of them, and Answered those that were.
-	Requests, Answered int
-	// After counts the requests after the recovery, and AfterAnswered those answered.
-	After, AfterAnswered int
-}
-
 // Judge returns the findings in the order of their times. It is called once, at
 // the end of the run.
 func (r *Record) Judge() ([]Finding, Summary) {
@@ -40,21 +28,37 @@
 	r.judgeStrays()
 	r.judgeRuns(&sum)
 	r.judgeRequests(&sum)
+	sum.Gaps = r.gaps(&sum)
 	slices.SortStableFunc(r.findings, func(a, b Finding) int { return cmp.Compare(a.At, b.At) })
 	return r.findings, sum
 }
 
-// calm reports whether none of the spans lies in the time of the bound before to,
-// or between from and to.
-func (r *Record) calm(spans []span, from, to time.Duration) bool {
+// calm reports whether none of the spans lies in the time of a bound before from, or
+// between from and to.
+func calm(spans []span, bound, from, to time.Duration) bool {
 	return !slices.ContainsFunc(spans, func(s span) bool {
-		return s.from <= to && s.to+r.bounds.Stable >= from
+		return s.from <= to && s.to+bound >= from
 	})
 }
 
-// inTouch reports whether an entry was in touch from a moment to another.
+// inTouch reports whether no fault disturbed an entry from a moment to another.
 func (r *Record) inTouch(entry string, from, to time.Duration) bool {
-	return r.calm(r.disturbed[""], from, to) && r.calm(r.disturbed[entry], from, to)
+	return calm(r.disturbed[""], r.bounds.Stable, from, to) && calm(r.disturbed[entry], r.bounds.Stable, from, to)
+}
+
+// punctual reports whether the machine was not late from a moment to another.
+func (r *Record) punctual(from, to time.Duration) bool {
+	return calm(r.late, r.bounds.Stable, from, to)
+}
+
+// findTimed adds a finding on what came about from a moment to another. It counts the
+// finding as excused instead if the machine was late.
+func (r *Record) findTimed(kind Kind, from, to time.Duration, format string, arguments ...any) {
+	if !r.punctual(from, to) {
+		r.excused[kind]++
+		return
+	}
+	r.find(kind, to, format, arguments...)
 }
 
 // inForce returns the versions that may decide on what was sent and arrived at
@@ -86,17 +90,22 @@
 		if !r.inTouch(o.Entry, o.Sent, o.Arrived) {
 			continue
 		}
-		sum.Judged++
+		if r.punctual(o.Sent, o.Arrived) {
+			sum.Judged++
+		}
 		allowed := slices.ContainsFunc(r.inForce(o.Sent, o.Arrived), func(v version) bool {
 			return v.allows(o.Flow.Service(), o.Service)
 		})
 		if !allowed {
-			r.find(Config, o.Arrived, "flow %v sent at %v went by %s to service %s, as only an older version allows", o.Flow, o.Sent, o.Entry, o.Service)
+			r.findTimed(Config, o.Sent, o.Arrived, "flow %v sent at %v went by %s to service %s, as only an older version allows", o.Flow, o.Sent, o.Entry, o.Service)
 		}
 		if left, ok := r.left[o.Server]; ok && o.Arrived > left+r.bounds.Drain {
-			r.find(Drain, o.Arrived, "flow %v went by %s to server %x, which left at %v", o.Flow, o.Entry, o.Server.ID, left)
+			r.findTimed(Drain, o.Sent, o.Arrived, "flow %v went by %s to server %x, which left at %v", o.Flow, o.Entry, o.Server.ID, left)
 		}
 	}
+	if sum.Openings > 0 {
+		sum.Share = float64(sum.Judged) / float64(sum.Openings)
+	}
 }
 
 // effect is the newest version whose effect a process has shown.
@@ -147,18 +156,14 @@
 	sum.Resets = len(r.resets)
 	for i := range r.resets {
 		reset := &r.resets[i]
-		if !r.inTouch(reset.Entry, reset.Sent, reset.At) {
-			continue
-		}
-		sum.Judged++
-		if !r.routed(reset.Flow.Service(), reset.Sent, reset.At) {
+		if !r.inTouch(reset.Entry, reset.Sent, reset.At) || !r.routed(reset.Flow.Service(), reset.Sent, reset.At) {
 			continue
 		}
 		switch {
 		case !reset.Open:
-			r.find(Config, reset.At, "flow %v was refused by %s, though its address is configured", reset.Flow, reset.Entry)
+			r.findTimed(Config, reset.Sent, reset.At, "flow %v was refused by %s, though its address is configured", reset.Flow, reset.Entry)
 		case r.lives(reset.Server, reset.At) && reset.At-reset.Opened < r.bounds.Lifetime && reset.At-reset.Sent < r.bounds.Idle:
-			r.find(Flow, reset.At, "flow %v was reset by %s, though its server %x lives", reset.Flow, reset.Entry, reset.Server.ID)
+			r.findTimed(Flow, reset.Sent, reset.At, "flow %v was reset by %s, though its server %x lives", reset.Flow, reset.Entry, reset.Server.ID)
 		}
 	}
 }
@@ -173,29 +178,43 @@
 
 // lives reports whether nothing has disturbed a server lately.
 func (r *Record) lives(server agateinstance.Key, at time.Duration) bool {
-	return r.calm(r.troubled[server], at, at)
+	return calm(r.troubled[server], r.bounds.Stable, at, at)
 }
 
 func (r *Record) judgeStrays() {
 	for flow, strays := range r.strays {
-		for i := range strays {
-			last := i + strayLimit - 1
-			if last >= len(strays) || strays[last].at-strays[i].at > strayTime {
-				continue
-			}
-			s := strays[i]
-			if r.inTouch(s.entry, s.at, strays[last].at) && r.lives(s.own, strays[last].at) {
-				r.find(Flow, s.at, "segments of flow %v went by %s to another server than %x", flow, s.entry, s.own.ID)
-				break
-			}
+		misrouted := r.misrouted(strays)
+		if len(misrouted) == 0 {
+			continue
+		}
+		timely := slices.IndexFunc(misrouted, func(m misroute) bool { return r.punctual(m.first.at, m.last.at) })
+		m := misrouted[max(0, timely)]
+		r.findTimed(Flow, m.first.at, m.last.at, "segments of flow %v went by %s to another server than %x", flow, m.first.entry, m.first.own.ID)
+	}
+}
+
+// misroute is a row of a flow's segments at other servers.
+type misroute struct{ first, last stray }
+
+// misrouted returns the rows of segments by which a flow counts as misrouted.
+func (r *Record) misrouted(strays []stray) []misroute {
+	var rows []misroute
+	for i := 0; i+strayLimit <= len(strays); i++ {
+		first, last := strays[i], strays[i+strayLimit-1]
+		if last.at-first.at <= strayTime && r.inTouch(first.entry, first.at, last.at) && r.lives(first.own, last.at) {
+			rows = append(rows, misroute{first, last})
 		}
 	}
+	return rows
 }
 
 func (r *Record) judgeRuns(sum *Summary) {
 	sum.Runs = len(r.runs)
 	ran := make(map[uint64]bool)
 	for _, each := range r.runs {
+		if each.once {
+			sum.Once++
+		}
 		if !slices.ContainsFunc(r.versions, func(v version) bool { return v.allows(each.address, each.service) }) {
 			r.find(Route, each.at, "request %x for %v ran at service %s, which no configuration names", each.id, each.address, each.service)
 		}
@@ -216,6 +235,10 @@
 		if each.asked < from {
 			continue
 		}
+		sum.Calm++
+		if !calm(r.late, r.bounds.Recover, each.asked, each.ended) {
+			continue
+		}
 		sum.After++
 		if each.answered {
 			sum.AfterAnswered++
--- a/bench/agatepromise/judge_test.go
+++ b/bench/agatepromise/judge_test.go
@@ -113,22 +113,40 @@
 			r.Strayed(flow(1), server, "vm-1", 9*second)
 			r.Strayed(flow(1), server, "vm-1", 9*second)
 		}},
+		"reset before the machine was late": {agatepromise.Flow, func(r *record) { reset(r, true, 9*second); r.Late(10*second, 11*second) }},
+		"misrouted while the machine was late and after": {agatepromise.Flow, func(r *record) {
+			for i := range 30 {
+				r.Strayed(flow(1), server, "vm-1", 9*second+time.Duration(i)*second/2)
+			}
+			r.Late(9*second, 10*second)
+		}},
 		"ran twice":            {agatepromise.Twice, func(r *record) { r.Ran(1, true, address, "map", 1); r.Ran(1, true, address, "map", 2) }},
 		"idempotent ran twice": {"", func(r *record) { r.Ran(1, false, address, "map", 1); r.Ran(1, false, address, "map", 2) }},
 		"not recovered": {agatepromise.Recovery, func(r *record) {
 			r.Disturbed("vm-2", second, 2*second)
-			r.Asked(14*second, true)
-			r.Asked(15*second, false)
+			r.Asked(14*second, 14*second, true)
+			r.Asked(15*second, 15*second, false)
 		}},
-		"failed while packets to callers were lost": {"", func(r *record) { r.Harmed(2 * second); r.Asked(3*second, false) }},
+		"failed while packets to callers were lost": {"", func(r *record) { r.Harmed(2 * second); r.Asked(3*second, 3*second, false) }},
 		"not recovered from lost packets to callers": {agatepromise.Recovery, func(r *record) {
 			r.Harmed(2 * second)
-			r.Asked(14*second, true)
-			r.Asked(15*second, false)
+			r.Asked(14*second, 14*second, true)
+			r.Asked(15*second, 15*second, false)
+		}},
+		"not recovered before the machine was late": {agatepromise.Recovery, func(r *record) {
+			r.Disturbed("vm-2", second, 2*second)
+			r.Asked(14*second, 15*second, false)
+			r.Late(30*second, 31*second)
+		}},
+		"failed while the machine was late": {"", func(r *record) {
+			r.Disturbed("vm-2", second, 2*second)
+			r.Late(15*second, 16*second)
+			r.Asked(14*second, 15*second, false)
+			r.Asked(28*second, 28*second, false)
 		}},
 		"failed while disturbed": {"", func(r *record) {
 			r.Disturbed("vm-2", second, 2*second)
-			r.Asked(3*second, false)
+			r.Asked(3*second, 3*second, false)
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/bench/agatepromise/record.go
+++ b/bench/agatepromise/record.go
@@ -133,8 +133,8 @@
 
 // request is what became of a request.
 type request struct {
-	asked    time.Duration
-	answered bool
+	asked, ended time.Duration
+	answered     bool
 }
 
 // stray is a segment of an open flow that reached another server than its own.
@@ -154,6 +154,8 @@
 	// troubled those by server.
 	disturbed map[string][]span
 	troubled  map[agateinstance.Key][]span
+	// late are the times in which the machine was late.
+	late []span
 	// started are the starts of each entry's processes, in order.
 	started  map[string][]time.Duration
 	left     map[agateinstance.Key]time.Duration
@@ -164,6 +166,8 @@
 	requests []request
 	strays   map[agatetuple.Tuple][]stray
 	findings []Finding
+	// excused counts the findings that were not judged, as the machine was late.
+	excused map[Kind]int
 	// faultsEnd is the end of the last fault.
 	faultsEnd time.Duration
 }
@@ -178,6 +182,7 @@
 		left:      make(map[agateinstance.Key]time.Duration),
 		sent:      make(map[copyKey]time.Duration),
 		strays:    make(map[agatetuple.Tuple][]stray),
+		excused:   make(map[Kind]int),
 	}
 }
 
@@ -221,6 +226,12 @@
 	r.locked(func() { r.faultsEnd = max(r.faultsEnd, to) })
 }
 
+// Late notes that the machine was too busy for times to mean anything. It is no fault
+// and moves no end of them: what came before is judged, and what it concerns is not.
+func (r *Record) Late(from, to time.Duration) {
+	r.locked(func() { r.late = append(r.late, span{from, to}) })
+}
+
 // Started notes that a process of an entry was started.
 func (r *Record) Started(entry string, at time.Duration) {
 	r.locked(func() { r.started[entry] = append(r.started[entry], at) })
@@ -262,8 +273,8 @@
 }
 
 // Asked notes what became of a request.
-func (r *Record) Asked(at time.Duration, answered bool) {
-	r.locked(func() { r.requests = append(r.requests, request{at, answered}) })
+func (r *Record) Asked(asked, ended time.Duration, answered bool) {
+	r.locked(func() { r.requests = append(r.requests, request{asked, ended, answered}) })
 }
 
 // Strayed notes that a segment of a flow of the server own reached another one.
--- a/bench/agatesoak/soak.go
+++ b/bench/agatesoak/soak.go
@@ -40,8 +40,8 @@
 	// tail is the time after the last step in which requests are judged.
 	tail = 6 * time.Second
 	// lagCheck is the time between two looks at whether the machine is late, and
-	// lagLimit the lateness that counts as a disturbance of all: callers repeat
-	// themselves after 200 ms.
+	// lagLimit the lateness from which on promises with a time don't count: callers
+	// repeat themselves after 200 ms.
 	lagCheck = 20 * time.Millisecond
 	lagLimit = 100 * time.Millisecond
 )
@@ -73,8 +73,10 @@
 
 // Report is what came of a run.
 type Report struct {
-	Seed     uint64                 `json:"seed"`
+	Seed uint64 `json:"seed"`
+	// Kept says that the verdict is that all promises were kept.
 	Kept     bool                   `json:"kept"`
+	Verdict  agatepromise.Verdict   `json:"verdict"`
 	Findings []agatepromise.Finding `json:"findings,omitempty"`
 	Summary  agatepromise.Summary   `json:"summary"`
 	Steps    int                    `json:"steps"`
@@ -197,8 +199,9 @@
 	findings, summary := s.record.Judge()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	verdict := agatepromise.Decide(findings, summary.Gaps)
 	return &Report{
-		Seed: s.options.Seed, Kept: len(findings) == 0, Findings: findings, Summary: summary,
+		Seed: s.options.Seed, Kept: verdict == agatepromise.Kept, Verdict: verdict, Findings: findings, Summary: summary,
 		Steps: len(steps), Peak: highest, Lagged: s.lagged,
 	}, err
 }
@@ -245,7 +248,7 @@
 		if late < lagLimit {
 			continue
 		}
-		s.record.Disturbed("", last, s.now())
+		s.record.Late(last, s.now())
 		s.mutex.Lock()
 		s.lagged += late
 		s.mutex.Unlock()
