Soak: go on while a late machine leaves no requests to judge

A machine that is late in the last seconds left a run without requests to judge after the last fault, so a sound run had to be made again. The soak goes on until the machine has not been late for the time of the recovery and 6 s after it, at most 20 s longer. Each run still lasts as long as before at least. Requests that failed before stay judged; the share answered is that of all of them.

Weighed: to go on until a number of requests are judged. It ends sooner, with less evidence than a run on a machine that is not late has.

Evidence: TestSettled is new.

--- a/bench/agatecommand/soak.go
+++ b/bench/agatecommand/soak.go
@@ -18,7 +18,7 @@
 	ctx     context.Context
 	Seed    uint64           `long:"seed" default:"1" description:"seed of the faults, the first one of several"`
 	Runs    uint64           `long:"runs" default:"1" description:"number of runs, each with the next seed"`
-	For     time.Duration    `long:"for" default:"40s" description:"time in which faults come; a run takes 20 s more"`
+	For     time.Duration    `long:"for" default:"40s" description:"time in which faults come; a run takes 20 s more, and up to 20 s beyond if the machine is late"`
 	Entries int              `long:"entries" default:"9" description:"number of entry processes"`
 	Callers int              `long:"callers" default:"9" description:"number of callers' addresses, with 8 users each"`
 	Only    []agateplan.Kind `long:"only" description:"make only steps of this kind; may be given several times"`
--- a/bench/agatepromise/record.go
+++ b/bench/agatepromise/record.go
@@ -232,6 +232,18 @@
 	r.locked(func() { r.late = append(r.late, span{from, to}) })
 }
 
+// Settled returns the time from which on requests are judged, unless the machine is
+// late again.
+func (r *Record) Settled() time.Duration {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	end := r.faultsEnd
+	for _, s := range r.late {
+		end = max(end, s.to)
+	}
+	return end + r.bounds.Recover
+}
+
 // Started notes that a process of an entry was started.
 func (r *Record) Started(entry string, at time.Duration) {
 	r.locked(func() { r.started[entry] = append(r.started[entry], at) })
--- a/bench/agatepromise/verdict_test.go
+++ b/bench/agatepromise/verdict_test.go
@@ -146,3 +146,21 @@
 		})
 	}
 }
+
+// TestSettled checks that a late machine puts off the time from which on requests are
+// judged, and that no other disturbance which is over does.
+func TestSettled(t *testing.T) {
+	r := agatepromise.New(bounds)
+	check := func(want time.Duration) {
+		t.Helper()
+		if got := r.Settled(); got != want {
+			t.Errorf("settled at %v, want %v", got, want)
+		}
+	}
+	r.Disturbed("vm-1", 8*second, 10*second)
+	check(22 * second)
+	r.Late(30*second, 31*second)
+	check(43 * second)
+	r.Harmed(20 * second)
+	check(43 * second)
+}
--- a/bench/agatesoak/soak.go
+++ b/bench/agatesoak/soak.go
@@ -39,6 +39,8 @@
 	startTimeout = 20 * time.Second
 	// tail is the time after the last step in which requests are judged.
 	tail = 6 * time.Second
+	// maxSettle is the longest time for which a run goes on after a late machine.
+	maxSettle = 20 * time.Second
 	// lagCheck is the time between two looks at whether the machine is late, and
 	// lagLimit the lateness from which on promises with a time don't count: callers
 	// repeat themselves after 200 ms.
@@ -189,6 +191,7 @@
 	callers.Go(func() error { return s.crowd.Run(load, work()) })
 	s.makeSteps(steps)
 	s.sleep(bounds.Recover + tail)
+	s.settle()
 	stopLoad()
 	err := callers.Wait()
 	highest := s.inspect()
@@ -206,6 +209,18 @@
 	}, err
 }
 
+// settle waits until the machine has not been late in the time in which requests are
+// judged, at most for maxSettle.
+func (s *soak) settle() {
+	limit := s.now() + maxSettle
+	for {
+		wait := min(s.record.Settled()+tail, limit) - s.now()
+		if wait <= 0 || !s.sleep(wait) {
+			return
+		}
+	}
+}
+
 // plan draws the steps and leaves out those that are not wanted.
 func (s *soak) plan(begin time.Duration) []agateplan.Step {
 	var steps []agateplan.Step
