Test that records move no flows

TestRecordsMoveNoFlows draws the store's records in the simulation of entries, servers and callers. Servers restart under their ids at the same or another address, with clocks that are off and late registrations; other writers write under the ids of living servers and of none, also what can't be read; a server's own beat, each 1.2 s, puts its entry right. Each entry has a Merger and learns of records late, twice, in another order, or not if a newer one is there; entries begin in the middle with a listing that lacks the last changes. An entry's catalog counts as confirmed up to the first change that it lacks.

Property: no entry, in order or not, forwards a segment of a flow that is open at a living server to another id or address, and none in order resets such a flow. Copies of SYNs aside: no other server opens the flow. This is stricter than the rule, which allows for the lag.

The ends of flows send the last token that they received, as the protocol says.

--- a/core/process/agatesteer/simulation_callers_test.go
+++ b/core/process/agatesteer/simulation_callers_test.go
@@ -39,7 +39,8 @@
 
 // flowEnd is one end of a flow.
 type flowEnd struct {
-	flow  agatetuple.Tuple
+	flow agatetuple.Tuple
+	// token is the last one received.
 	token uint32
 	// transmit passes a packet to the path, and after calls a function later.
 	transmit func(packet)
@@ -105,6 +106,7 @@
 // whether the other end has finished.
 func (e *flowEnd) receive(p packet) (messages int, finished bool) {
 	e.handled++
+	e.token = p.Token
 	if agatesegment.After(p.Acknowledged, e.acknowledged) {
 		e.acknowledged = p.Acknowledged
 	}
--- a/core/process/agatesteer/simulation_test.go
+++ b/core/process/agatesteer/simulation_test.go
@@ -86,6 +86,10 @@
 	Full, Gone []period
 	// CrashAt is when it stops answering; 0 for never.
 	CrashAt time.Duration
+	// Service is the name of its service, and Restarts are its starts after the first one,
+	// both in a plan with records only.
+	Service  string
+	Restarts []restart
 }
 
 // plan is what is drawn for a simulation.
@@ -98,6 +102,9 @@
 	Servers []serverPlan
 	// Rotations are the times at which flows move to other entries.
 	Rotations []time.Duration
+	// Records is how the platform's store and its other writers behave; nil for entries
+	// that learn of each registration once and in order.
+	Records *recordsPlan
 }
 
 // simulation runs entries, callers and servers in virtual time.
@@ -109,17 +116,20 @@
 	answer   int
 	catalog  *agatecatalog.Catalog
 	revision int64
-	entries  []*modelEntry
-	servers  []*modelServer
-	callers  map[[4]byte]*modelCaller
+	// store holds the registrations of a plan with records; nil otherwise.
+	store   *modelStore
+	entries []*modelEntry
+	servers []*modelServer
+	callers map[[4]byte]*modelCaller
 	// salt is part of the hash that selects a flow's entry.
 	salt  uint64
 	tries []*try
 	// lost counts the packets that entries in trouble lost, by flow.
 	lost map[agatetuple.Tuple]int
 	// wrong holds a line for each flow that an entry in order reset while it was open at
-	// a living server.
-	wrong []string
+	// a living server, and moved one for each segment of such a flow that an entry
+	// forwarded elsewhere.
+	wrong, moved []string
 }
 
 // event is a call that is due at a time.
@@ -173,9 +183,17 @@
 		s.entries = append(s.entries, e)
 		s.after(longestCatalogDelay+s.span(tickInterval), e.tick)
 	}
+	if p.Records != nil {
+		s.store = newStore(s, p)
+	}
 	for i, each := range p.Servers {
-		srv := &modelServer{serverPlan: each, s: s, id: uint64(i + 1), flows: make(map[agatetuple.Tuple]*flowEnd)}
+		srv := &modelServer{serverPlan: each, s: s, key: keyOf(uint64(i + 1)), flows: make(map[agatetuple.Tuple]*flowEnd)}
 		s.servers = append(s.servers, srv)
+		if s.store != nil {
+			srv.key.StartTime = firstStartTime
+			srv.begin(0)
+			continue
+		}
 		srv.register(agateinstance.Ready)
 		for _, gone := range each.Gone {
 			s.after(gone.From-s.now, func() { srv.register(agateinstance.Gone) })
@@ -235,6 +253,8 @@
 	queued  int
 	// urgentAt is when loads were last sent to other entries at once.
 	urgentAt time.Duration
+	// replica is what the entry has learnt from the store; nil without one.
+	replica *replica
 }
 
 // stopped returns when the entry runs again, or 0 if it runs.
@@ -282,7 +302,10 @@
 	switch v.Action {
 	case agatesteer.Forward:
 		p.Token = v.Token
-		e.forward(p, e.s.servers[v.Server-1])
+		e.checkServer(p, v)
+		if to := e.s.serverAt(v); to != nil {
+			e.forward(p, to)
+		}
 	case agatesteer.Reset:
 		e.reset(v)
 	}
@@ -311,7 +334,7 @@
 		}
 		e.s.wrong = append(e.s.wrong, fmt.Sprintf(
 			"%v: entry %s resets (%s) flow %v at server %d: copies %d, unanswered flows %d, last answer %v ago, centre silent %t; the server got %d packets of the flow (%d again), sent %d, the last %v ago; entries in trouble lost %d of the flow; its caller holds it: %t",
-			e.s.now, e.name, v.Reason, v.Flow.LogValue(), each.id, v.Evidence.Retransmits, v.Evidence.UnansweredFlows, v.Evidence.SinceAnswer, v.Evidence.CentreSilent,
+			e.s.now, e.name, v.Reason, v.Flow.LogValue(), each.key.ID, v.Evidence.Retransmits, v.Evidence.UnansweredFlows, v.Evidence.SinceAnswer, v.Evidence.CentreSilent,
 			f.handled, f.copies, f.sent, e.s.now-f.lastSent, e.s.lost[v.Flow], c.flows[v.Flow] != nil))
 	}
 	c.deliver(packet{Segment: agatesegment.Segment{Flow: v.Flow, Flags: agatesegment.RST, Sequence: v.Sequence}})
@@ -332,7 +355,11 @@
 		e.steerer.RecordLag(e.s.now)
 	}
 	e.lastTick = e.s.now
-	e.steerer.Confirm(e.s.now)
+	confirmed := e.s.now
+	if e.replica != nil {
+		confirmed = e.refresh()
+	}
+	e.steerer.Confirm(confirmed)
 	resets := e.steerer.Tick(e.s.now)
 	slices.SortFunc(resets, func(a, b agatesteer.Verdict) int { return cmp.Compare(a.Flow.Hash(), b.Flow.Hash()) })
 	for _, v := range resets {
@@ -397,18 +424,27 @@
 type modelServer struct {
 	serverPlan
 	s     *simulation
-	id    uint64
+	key   agateinstance.Key
 	flows map[agatetuple.Tuple]*flowEnd
 }
 
 func (m *modelServer) crashed() bool { return m.CrashAt > 0 && m.s.now >= m.CrashAt }
 
+// record returns the server's registration in the given state.
+func (m *modelServer) record(state agateinstance.State) agateinstance.Instance {
+	return agateinstance.Instance{Key: m.key, Service: cmp.Or(m.Service, "map"), Centre: m.Centre, Slots: 8, State: state}
+}
+
 // register writes the server's registration in the given state.
 func (m *modelServer) register(state agateinstance.State) {
+	if m.s.store != nil {
+		m.s.store.write(m.record(state))
+		return
+	}
 	m.s.revision++
-	m.s.catalog, _ = m.s.catalog.WithInstances([]agateinstance.Instance{{
-		Key: keyOf(m.id), Revision: m.s.revision, Service: "map", Centre: m.Centre, Slots: 8, State: state,
-	}})
+	record := m.record(state)
+	record.Revision = m.s.revision
+	m.s.catalog, _ = m.s.catalog.WithInstances([]agateinstance.Instance{record})
 	newest := m.s.catalog
 	for _, each := range m.s.entries {
 		m.s.after(each.catalogDelay, func() { each.steerer.Update(newest, m.s.now) })
@@ -439,7 +475,7 @@
 		}
 		initial := m.s.random.Uint32()
 		f = &flowEnd{
-			flow: p.Flow, token: p.Token, after: m.s.after, early: make(map[uint32]packet), acknowledgesCopies: true,
+			flow: p.Flow, after: m.s.after, early: make(map[uint32]packet), acknowledgesCopies: true,
 			next: initial + 1, acknowledged: initial + 1, received: p.Sequence + 1,
 		}
 		f.transmit = func(answer packet) {
@@ -448,6 +484,7 @@
 		}
 		m.flows[p.Flow] = f
 	}
+	f.token = p.Token
 	if !f.open {
 		f.pass(packet{Segment: agatesegment.Segment{Sequence: f.next - 1, Flags: agatesegment.SYN | agatesegment.ACK}})
 	}
@@ -633,7 +670,7 @@
 func (s *simulation) crashed() []*try {
 	var found []*try
 	for _, srv := range s.servers {
-		token, _ := s.catalog.Token(keyOf(srv.id))
+		token, _ := s.catalog.Token(srv.key)
 		for _, each := range s.tries {
 			begun := each.sentAt < srv.CrashAt+crashCheck && (each.endedAt == 0 || each.endedAt > srv.CrashAt)
 			if srv.CrashAt > 0 && each.token == token && each.kind == agatevip.Idempotent && begun {
