Remember a flow whose SYN's copy finds no server

Callers would see a reset of an open flow: an entry forwards a SYN, drops a copy of it for which it has no server, and forgets the flow with that copy. A late duplicate of the first SYN then counts as that of a new flow and is refused, while the flow is open.

A flow is removed only with its first SYN, which is refused at once.

--- a/core/process/agatesteer/steer.go
+++ b/core/process/agatesteer/steer.go
@@ -309,7 +309,9 @@
 	}
 	chosen := s.chooseServer(f, s.selectService(vip, segment.Flow), now)
 	if chosen == nil {
-		s.flows.Remove(f)
+		if !isCopy {
+			s.flows.Remove(f)
+		}
 		return s.refuseSYN(segment, isCopy, NoServer, now)
 	}
 	s.assign(f, chosen)
