Take no registration for a witness against a server

Callers saw their open flows reset though their server lived: an entry of another writer, with a later start time elsewhere under the server's id, or at the address of a server whose own registration had lapsed, counted as a witness. With it the answers of two callers that were lost for 0.8 s ended the server's flows, until the server wrote again.

Cause: the last of the registrations among the evidence. A record says who wrote it last, not that a server has ended; two callers with broken ways back are what the three witnesses are there to withstand.

Change: only callers are witnesses. Catalog.Replaced and the index of addresses that served it go. Callers of servers whose address is given to others wait for a third witness; the address comes back after reuse_s at the earliest, later than their time budgets.

TestReplacedServerEndsFlows asked for resets on the word of two callers and such a record, which is this fault; it asks for those of three callers now, within the same second, and as before that no segment goes to the replacement.

--- a/core/process/agatesteer/share.go
+++ b/core/process/agatesteer/share.go
@@ -9,7 +9,6 @@
 	"agatereach/core/process/agatesilence"
 	"agatereach/core/request/agateload"
 	"agatereach/core/version/agatecatalog"
-	"agatereach/core/version/agateinstance"
 )
 
 // serverLoad is the load of one server in a report of another entry.
@@ -193,16 +192,6 @@
 	return len(counted) - own
 }
 
-// otherWitnesses returns the number of witnesses against a server beside this entry's
-// callers. A registration that says that it has been replaced is one.
-func (s *Steerer) otherWitnesses(srv *server, now time.Duration) int {
-	count := srv.peerWitnesses(s.policy.Silence, now)
-	if srv.instance.State == agateinstance.Gone && s.catalog.Replaced(srv.instance) {
-		count++
-	}
-	return count
-}
-
 // sumSuspicions passes the other entries' suspicions since the server's last
 // answer to its silence detector.
 func (s *server) sumSuspicions() {
@@ -421,7 +410,7 @@
 	case s.catalog.Successor(srv.instance).Key != srv.instance.Key:
 		// The evidence on an incarnation says nothing about its successor.
 		return 0
-	case srv.silence.Confirmed(s.policy.Silence, s.otherWitnesses(srv, now), now):
+	case srv.silence.Confirmed(s.policy.Silence, srv.peerWitnesses(s.policy.Silence, now), now):
 		return 1
 	case s.centreCut(srv, now) && now-srv.silence.LastAnswer() >= s.policy.Silence.MinSilence:
 		return firmRetransmits
--- a/core/process/agatesteer/silence_test.go
+++ b/core/process/agatesteer/silence_test.go
@@ -61,9 +61,9 @@
 	}
 }
 
-// TestReplacedServerEndsFlows checks that the flows of two callers are enough for resets
-// within a second when their server has restarted at another address or its address
-// belongs to another service, and that none of their segments go to the replacement.
+// TestReplacedServerEndsFlows checks that the flows of three callers are reset within a
+// second when their server has restarted at another address or its address belongs to
+// another service, and that none of their segments go to the replacement.
 func TestReplacedServerEndsFlows(t *testing.T) {
 	for name, change := range map[string]func(*agateinstance.Instance){
 		"started elsewhere": func(i *agateinstance.Instance) {
@@ -75,7 +75,7 @@
 		t.Run(name, func(t *testing.T) {
 			fx := newFixture(t)
 			former := fx.server(1, "a", agateinstance.Ready)
-			calls := []*callerFlow{fx.newFlow(orders), fx.newFlow(orders)}
+			calls := []*callerFlow{fx.newFlow(orders), fx.newFlow(orders), fx.newFlow(orders)}
 			for _, c := range calls {
 				c.open()
 			}
--- a/core/version/agatecatalog/catalog.go
+++ b/core/version/agatecatalog/catalog.go
@@ -9,7 +9,6 @@
 	"net/netip"
 	"slices"
 
-	"agatereach/core/request/agateaddress"
 	"agatereach/core/version/agateinstance"
 	"agatereach/core/version/agateposition"
 	"agatereach/core/version/agateshard"
@@ -47,8 +46,6 @@
 	// tokens holds the incarnations that have a token; more than one is a
 	// collision.
 	tokens agateshard.Map[uint32, []agateinstance.Key]
-	// byAddress holds the incarnation in service at each address.
-	byAddress agateshard.Map[agateaddress.Address, agateinstance.Key]
 	// digest is the exclusive or of the digests of all instances.
 	digest uint64
 	// floor is the position after which every removal is still held as an
@@ -129,26 +126,6 @@
 	return latest
 }
 
-// Replaced reports whether the registrations say that the incarnation has ended: its server
-// has restarted at another address, or a server that started later has its address. They
-// may be wrong, so this alone ends no flow. A restart at the same address isn't
-// sufficient; see Successor.
-func (c *Catalog) Replaced(instance agateinstance.Instance) bool {
-	latest, held := c.Newest(instance.ID)
-	if held && latest.StartTime > instance.StartTime && latest.Address != instance.Address && follows(latest, instance) {
-		return true
-	}
-	key, _ := c.byAddress.Get(instance.Address)
-	holder, held := c.Instance(key)
-	return held && holder.ID != instance.ID && holder.Address == instance.Address && follows(holder, instance)
-}
-
-// follows reports whether an incarnation is registered and began after another one, by
-// its start time and by its record, since the clocks of servers may differ.
-func follows(later, earlier agateinstance.Instance) bool {
-	return later.State != agateinstance.Gone && later.StartTime >= earlier.StartTime && !earlier.Position().After(later.Position())
-}
-
 // Instances returns all known incarnations, ordered by id and start time.
 func (c *Catalog) Instances() []agateinstance.Instance {
 	return slices.SortedFunc(c.All(), func(a, b agateinstance.Instance) int { return a.Compare(b.Key) })
--- a/core/version/agatecatalog/catalog_test.go
+++ b/core/version/agatecatalog/catalog_test.go
@@ -11,7 +11,6 @@
 	"agatereach/core/request/agateaddress"
 	"agatereach/core/version/agatecatalog"
 	"agatereach/core/version/agateinstance"
-	"agatereach/core/version/agateposition"
 	"agatereach/core/version/agatevip"
 )
 
@@ -122,8 +121,8 @@
 }
 
 // TestContradictingRecords adds records of one server with one start time and several
-// addresses in random orders, and checks that the one written last is in force, that the
-// others keep their addresses and tokens, and that none replaces another as an earlier start.
+// addresses in random orders, and checks that the one written last is in force and that the
+// others keep their addresses and tokens.
 func TestContradictingRecords(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var records []agateinstance.Instance
@@ -153,9 +152,6 @@
 				if found, lookup := c.Find(record.Token(0)); lookup != agatecatalog.Found || found.Address != record.Address {
 					t.Fatalf("token of %s: lookup %s, address %s", record.Address, lookup, found.Address)
 				}
-				if c.Replaced(held) {
-					t.Fatalf("%+v is replaced by another record of the same start", held)
-				}
 			}
 		}
 	})
@@ -253,68 +249,6 @@
 	}
 }
 
-// TestReplaced checks what proves that the flows of an incarnation are over: a restart of
-// its server elsewhere, or a later server at its address. A restart at the same address,
-// an earlier server there and an earlier start don't.
-func TestReplaced(t *testing.T) {
-	const start = 5
-	former := newInstance(1, start, 1)
-	elsewhere := func(i agateinstance.Instance) agateinstance.Instance {
-		i.Address = agateaddress.Address{IP: [4]byte{10, 9, 9, 9}, Port: 80}
-		return i
-	}
-	at := func(i agateinstance.Instance) agateinstance.Instance {
-		i.Address = former.Address
-		return i
-	}
-	for name, c := range map[string]struct {
-		other agateinstance.Instance
-		want  bool
-	}{
-		"itself":                        {former, false},
-		"restarted at the address":      {newInstance(1, start+1, 2), false},
-		"restarted elsewhere":           {elsewhere(newInstance(1, start+1, 2)), true},
-		"earlier start elsewhere":       {elsewhere(newInstance(1, start-1, 2)), false},
-		"later server at the address":   {at(newInstance(2, start+1, 2)), true},
-		"earlier server at the address": {at(newInstance(2, start-1, 2)), false},
-	} {
-		if got := withInstances(withInstances(new(agatecatalog.Catalog), former), c.other).Replaced(former); got != c.want {
-			t.Errorf("%s: replaced %t, want %t", name, got, c.want)
-		}
-	}
-}
-
-// TestReplacedNeedsLaterRegistration guards against taking the flows of an incarnation
-// for ended because of a later start time alone: clocks may be wrong, records may come
-// late, and the other server may be registered elsewhere by now.
-func TestReplacedNeedsLaterRegistration(t *testing.T) {
-	own := newInstance(1, 5, 10)
-	lapsed := own.WithState(agateinstance.Gone, agateposition.Position{Revision: 30})
-	other := func(id uint64, born, revision int64) agateinstance.Instance {
-		i := newInstance(id, born, revision)
-		i.Address = own.Address
-		return i
-	}
-	elsewhere := func(id uint64, born, revision int64) agateinstance.Instance {
-		i := newInstance(id, born, revision)
-		i.Address = agateaddress.Address{IP: [4]byte{10, 9, 9, 9}, Port: 80}
-		return i
-	}
-	for name, records := range map[string][]agateinstance.Instance{
-		"started elsewhere, clock set back":    {elsewhere(1, 9, 1), own},
-		"the former start has lapsed":          {elsewhere(1, 9, 1), own, elsewhere(1, 9, 20).WithState(agateinstance.Gone, agateposition.Position{Revision: 20})},
-		"late predecessor whose clock is fast": {own, lapsed, other(2, 9, 1)},
-		"the other server has moved":           {own, lapsed, other(2, 9, 31), elsewhere(2, 9, 32)},
-		"the other server restarted elsewhere": {own, lapsed, other(2, 9, 31), elsewhere(2, 10, 32)},
-	} {
-		c := withInstances(new(agatecatalog.Catalog), records...)
-		held, _ := c.Instance(own.Key)
-		if held.State != agateinstance.Gone || c.Replaced(held) {
-			t.Errorf("%s: replaced %t, %s, want a server that is gone and not replaced", name, c.Replaced(held), held.State)
-		}
-	}
-}
-
 // TestSuccessor checks which incarnation receives what is sent to a former one.
 func TestSuccessor(t *testing.T) {
 	former := newInstance(1, 5, 1)
--- a/core/version/agatecatalog/draft.go
+++ b/core/version/agatecatalog/draft.go
@@ -4,7 +4,6 @@
 	"slices"
 	"unique"
 
-	"agatereach/core/request/agateaddress"
 	"agatereach/core/version/agateinstance"
 	"agatereach/core/version/agateposition"
 	"agatereach/core/version/agateshard"
@@ -18,7 +17,6 @@
 	instances *agateshard.Editor[agateinstance.Key, agateinstance.Instance]
 	newest    *agateshard.Editor[uint64, agateinstance.Key]
 	tokens    *agateshard.Editor[uint32, []agateinstance.Key]
-	byAddress *agateshard.Editor[agateaddress.Address, agateinstance.Key]
 }
 
 // start creates the editors of the catalog's maps if they don't exist yet.
@@ -31,7 +29,6 @@
 	d.instances = c.instances.Edit()
 	d.newest = c.newest.Edit()
 	d.tokens = c.tokens.Edit()
-	d.byAddress = c.byAddress.Edit()
 }
 
 // commit returns the catalog with the edited maps.
@@ -41,7 +38,6 @@
 	next.instances = d.instances.Close()
 	next.newest = d.newest.Close()
 	next.tokens = d.tokens.Close()
-	next.byAddress = d.byAddress.Close()
 	return &next
 }
 
@@ -67,7 +63,6 @@
 		}
 	}
 	d.set(record)
-	d.updateAddress(record)
 }
 
 // ends reports whether the record of an incarnation that is gone says so of the newest one
@@ -99,17 +94,6 @@
 	d.instances.Set(record.Key, record)
 }
 
-// updateAddress updates byAddress for a record.
-func (d *draft) updateAddress(record agateinstance.Instance) {
-	if record.State != agateinstance.Gone {
-		d.byAddress.Set(record.Address, record.Key)
-		return
-	}
-	if holder, _ := d.byAddress.Get(record.Address); holder == record.Key {
-		d.byAddress.Delete(record.Address)
-	}
-}
-
 // markGone marks an earlier incarnation as gone.
 func (d *draft) markGone(key agateinstance.Key, written agateposition.Position) {
 	earlier, _ := d.instances.Get(key)
