--- a/core/process/agatemerge/merge.go
+++ b/core/process/agatemerge/merge.go
@@ -5,6 +5,7 @@
 package agatemerge
 
 import (
+	"slices"
 	"time"
 
 	"agatereach/core/version/agatecatalog"
@@ -19,8 +20,9 @@
 	// without draining first. It also covers an outage of the source that begins
 	// and ends during one read and therefore causes no failed read.
 	RemovalGrace time.Duration
-	// OutageGrace is how long after the last failed read a server is kept whose
-	// registration is removed.
+	// OutageGrace is how long after the last failure of the source a server is kept
+	// whose registration is removed, and the longest time that it is kept after the
+	// removal was read.
 	OutageGrace time.Duration
 	// LeaseTime is how long a restored source may list a registration whose server has
 	// ended: until the lease has run out.
@@ -35,16 +37,18 @@
 type pendingRemoval struct {
 	// position is that of the removal.
 	position agateposition.Position
-	// deadline is when the server is marked as gone.
-	deadline time.Duration
+	// readAt is when the removal was read, and deadline when the server is marked as
+	// gone.
+	readAt, deadline time.Duration
 }
 
 // Merger owns the newest catalog. It is not safe for concurrent use.
 type Merger struct {
 	policy  Policy
 	catalog *agatecatalog.Catalog
-	// pending holds the removed registrations that are in their grace period.
-	pending map[agateinstance.Key]pendingRemoval
+	// pending holds the removed registrations that are in their grace period, by the id
+	// of the server: a record from before the removal may become known in that time.
+	pending map[uint64]pendingRemoval
 	// eraSince is when the catalog was first one of its era, and carried holds the
 	// incarnations whose state is known from an earlier era.
 	eraSince time.Duration
@@ -53,7 +57,7 @@
 	goneSince map[agateinstance.Key]time.Duration
 	// lastCatalog is the catalog from which goneSince was last updated.
 	lastCatalog *agatecatalog.Catalog
-	// lastFailure is when a read last failed; negative before the first failure.
+	// lastFailure is when the source was last known to fail; negative before that.
 	lastFailure time.Duration
 }
 
@@ -63,7 +67,7 @@
 		policy:      policy,
 		catalog:     &agatecatalog.Catalog{},
 		lastCatalog: &agatecatalog.Catalog{},
-		pending:     make(map[agateinstance.Key]pendingRemoval),
+		pending:     make(map[uint64]pendingRemoval),
 		goneSince:   make(map[agateinstance.Key]time.Duration),
 		carried:     make(map[agateinstance.Key]bool),
 		lastFailure: -policy.OutageGrace,
@@ -73,8 +77,17 @@
 // Catalog returns the newest catalog.
 func (m *Merger) Catalog() *agatecatalog.Catalog { return m.catalog }
 
-// RecordFailure records that a read of the source failed.
-func (m *Merger) RecordFailure(now time.Duration) { m.lastFailure = now }
+// RecordFailure records that the source failed at the given time: a read of this or of
+// another entry did, or one was the first to succeed again. Servers whose removal has been
+// read by then may have lost their registration in the same outage. The source answered
+// when the removal was read, so their time to register again counts from there.
+func (m *Merger) RecordFailure(at time.Duration) {
+	m.lastFailure = max(m.lastFailure, at)
+	for id, pending := range m.pending {
+		pending.deadline = max(pending.deadline, min(at, pending.readAt)+m.policy.OutageGrace)
+		m.pending[id] = pending
+	}
+}
 
 // Apply applies a delivery of a source and reports whether the catalog has
 // changed. Of a delivery from an earlier era than the catalog's, and of one from a later
@@ -163,7 +176,8 @@
 // withConfirmedStates returns a listing in which the states of those records are
 // confirmed that the catalog holds with a state from an earlier era.
 func (m *Merger) withConfirmedStates(c agatechange.Changes) agatechange.Changes {
-	if len(m.carried) == 0 {
+	// A listing with a carried state is another entry's, not the source's.
+	if len(m.carried) == 0 || slices.ContainsFunc(c.Instances, agateinstance.Instance.Carried) {
 		return c
 	}
 	records := make([]agateinstance.Instance, len(c.Instances))
@@ -202,9 +216,10 @@
 // of incarnations that are not gone with the records applied.
 func (m *Merger) cancelRemovals(records []agateinstance.Instance) {
 	for _, record := range records {
-		pending, ok := m.pending[record.Key]
-		if ok && (record.Position().After(pending.position) || record.State == agateinstance.Gone) {
-			delete(m.pending, record.Key)
+		newest, _ := m.catalog.Newest(record.ID)
+		pending, ok := m.pending[record.ID]
+		if ok && (newest.Position().After(pending.position) || newest.State == agateinstance.Gone) {
+			delete(m.pending, record.ID)
 		}
 		if held, _ := m.catalog.Instance(record.Key); held.State != agateinstance.Gone {
 			delete(m.goneSince, record.Key)
@@ -245,19 +260,19 @@
 			m.catalog, _ = m.catalog.WithInstances([]agateinstance.Instance{updated})
 			continue
 		}
-		scheduled, known := m.pending[instance.Key]
+		scheduled, known := m.pending[instance.ID]
 		if !known {
-			scheduled.deadline = m.removalDeadline(instance, now)
+			scheduled.readAt, scheduled.deadline = now, m.removalDeadline(instance, now)
 		}
 		scheduled.position = scheduled.position.Max(position)
-		m.pending[instance.Key] = scheduled
+		m.pending[instance.ID] = scheduled
 	}
 	m.Tick(now)
 }
 
 // removalDeadline returns when a server whose registration is removed now is
-// marked as gone. One that is draining gets no grace period except soon after a failed
-// read: its registration may have lapsed in the outage.
+// marked as gone. One that is draining gets no grace period except soon after a failure
+// of the source: its registration may have lapsed in the outage.
 func (m *Merger) removalDeadline(instance agateinstance.Instance, now time.Duration) time.Duration {
 	outage := m.lastFailure + m.policy.OutageGrace
 	if instance.State == agateinstance.Draining {
@@ -280,12 +295,12 @@
 // expire marks the servers as gone whose grace period has ended.
 func (m *Merger) expire(now time.Duration) {
 	var expired []agateinstance.Instance
-	for key, pending := range m.pending {
+	for id, pending := range m.pending {
 		if now < pending.deadline {
 			continue
 		}
-		delete(m.pending, key)
-		instance, ok := m.catalog.Instance(key)
+		delete(m.pending, id)
+		instance, ok := m.catalog.Newest(id)
 		if ok && instance.State != agateinstance.Gone && !instance.Position().After(pending.position) {
 			// A record replaces another only with a later position.
 			expired = append(expired, instance.WithState(agateinstance.Gone, pending.position.Max(instance.Position().Next())))
--- a/core/version/agatecatalog/catalog.go
+++ b/core/version/agatecatalog/catalog.go
@@ -4,7 +4,6 @@
 package agatecatalog
 
 import (
-	"cmp"
 	"iter"
 	"maps"
 	"net/netip"
@@ -40,13 +39,13 @@
 	vips map[netip.AddrPort]agatevip.VIP
 	// instances holds all known incarnations, including those that are gone.
 	instances agateshard.Map[agateinstance.Key, agateinstance.Instance]
-	// newest holds the key of the newest incarnation of each server id.
+	// newest holds the key of the newest incarnation of each server id. Of two with the
+	// same start time, of which only one can be the server's own, it is the one that was
+	// written later.
 	newest agateshard.Map[uint64, agateinstance.Key]
 	// tokens holds the incarnations that have a token; more than one is a
 	// collision.
 	tokens agateshard.Map[uint32, []agateinstance.Key]
-	// byAddress holds the incarnation in service at each address.
-	byAddress agateshard.Map[netip.AddrPort, agateinstance.Key]
 	// digest is the exclusive or of the digests of all instances.
 	digest uint64
 	// floor is the position after which every removal is still held as an
@@ -127,31 +126,9 @@
 	return latest
 }
 
-// Replaced reports whether the registrations say that the incarnation has ended: its server
-// has restarted at another address, or a server that started later has its address. They
-// may be wrong, so this alone ends no flow. A restart at the same address isn't
-// sufficient; see Successor.
-func (c *Catalog) Replaced(instance agateinstance.Instance) bool {
-	latest, held := c.Newest(instance.ID)
-	if held && latest.Key != instance.Key && latest.Address != instance.Address && follows(latest, instance) {
-		return true
-	}
-	key, _ := c.byAddress.Get(instance.Address)
-	holder, held := c.Instance(key)
-	return held && holder.ID != instance.ID && holder.Address == instance.Address && follows(holder, instance)
-}
-
-// follows reports whether an incarnation is registered and began after another one, by
-// its start time and by its record, since the clocks of servers may differ.
-func follows(later, earlier agateinstance.Instance) bool {
-	return later.State != agateinstance.Gone && later.StartTime >= earlier.StartTime && !earlier.Position().After(later.Position())
-}
-
 // Instances returns all known incarnations, ordered by id and start time.
 func (c *Catalog) Instances() []agateinstance.Instance {
-	return slices.SortedFunc(c.All(), func(a, b agateinstance.Instance) int {
-		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.StartTime, b.StartTime))
-	})
+	return slices.SortedFunc(c.All(), func(a, b agateinstance.Instance) int { return a.Compare(b.Key) })
 }
 
 // All returns all known incarnations, in no particular order.
@@ -188,6 +165,21 @@
 	return slices.Collect(maps.Keys(changed))
 }
 
+// Contradicted returns the incarnations whose registration is another one than in an
+// earlier catalog because their server is registered with the same start time at another
+// address: one of the two isn't the server's own.
+func (c *Catalog) Contradicted(earlier *Catalog) []agateinstance.Instance {
+	var contradicted []agateinstance.Instance
+	same := func(a, b agateinstance.Instance) bool { return a == b }
+	for key := range c.instances.Changes(earlier.instances, same) {
+		instance, _ := c.instances.Get(key)
+		if newest, held := c.newest.Get(key.ID); held && instance.State == agateinstance.Gone && newest != key && newest.StartTime == key.StartTime {
+			contradicted = append(contradicted, instance)
+		}
+	}
+	return contradicted
+}
+
 // Token returns the token for new flows of an incarnation: the first of its
 // tokens that no other incarnation has. It returns false if there is none; the
 // incarnation can't take new flows then.
--- a/core/version/agatecatalog/draft.go
+++ b/core/version/agatecatalog/draft.go
@@ -1,7 +1,6 @@
 package agatecatalog
 
 import (
-	"net/netip"
 	"slices"
 	"unique"
 
@@ -18,7 +17,6 @@
 	instances *agateshard.Editor[agateinstance.Key, agateinstance.Instance]
 	newest    *agateshard.Editor[uint64, agateinstance.Key]
 	tokens    *agateshard.Editor[uint32, []agateinstance.Key]
-	byAddress *agateshard.Editor[netip.AddrPort, agateinstance.Key]
 }
 
 // start creates the editors of the catalog's maps if they don't exist yet.
@@ -31,7 +29,6 @@
 	d.instances = c.instances.Edit()
 	d.newest = c.newest.Edit()
 	d.tokens = c.tokens.Edit()
-	d.byAddress = c.byAddress.Edit()
 }
 
 // commit returns the catalog with the edited maps.
@@ -41,7 +38,6 @@
 	next.instances = d.instances.Close()
 	next.newest = d.newest.Close()
 	next.tokens = d.tokens.Close()
-	next.byAddress = d.byAddress.Close()
 	return &next
 }
 
@@ -51,18 +47,40 @@
 	if _, known := d.instances.Get(record.Key); !known {
 		d.addTokens(record.Key)
 	}
-	latest, known := d.newest.Get(record.ID)
+	key, known := d.newest.Get(record.ID)
+	latest, _ := d.instances.Get(key)
 	switch {
-	case !known || record.StartTime > latest.StartTime:
+	case !known || newer(record, latest):
 		d.newest.Set(record.ID, record.Key)
 		if known {
-			d.markGone(latest, record.Position())
+			d.markGone(key, record.Position())
 		}
-	case record.StartTime < latest.StartTime:
+	case record.Key != key:
 		record.State = agateinstance.Gone
+		if ends(record, latest) {
+			// Not as of the record's position: the newest one may have been written there.
+			d.markGone(key, latest.Position())
+		}
 	}
 	d.set(record)
-	d.updateAddress(record)
+}
+
+// ends reports whether the record of an incarnation that is gone says so of the newest one
+// as well: both are of one server and start, so what was written later under the server's
+// id has taken the place of both. Positions of different eras aren't compared, since a
+// restored source may list what was replaced before.
+func ends(record, latest agateinstance.Instance) bool {
+	return record.StartTime == latest.StartTime && record.Era == latest.Era && record.Revision > latest.Revision && latest.State != agateinstance.Gone
+}
+
+// newer reports whether a record is of a newer incarnation than the newest known one: by
+// their start times, or by their positions if those are the same. Then the one that was
+// written before is gone as of the position of the other one.
+func newer(record, latest agateinstance.Instance) bool {
+	if record.StartTime != latest.StartTime {
+		return record.StartTime > latest.StartTime
+	}
+	return record.Key != latest.Key && record.State != agateinstance.Gone && !latest.Position().After(record.Position())
 }
 
 // set stores a record and updates the digest.
@@ -76,17 +94,6 @@
 	d.instances.Set(record.Key, record)
 }
 
-// updateAddress updates byAddress for a record.
-func (d *draft) updateAddress(record agateinstance.Instance) {
-	if record.State != agateinstance.Gone {
-		d.byAddress.Set(record.Address, record.Key)
-		return
-	}
-	if holder, _ := d.byAddress.Get(record.Address); holder == record.Key {
-		d.byAddress.Delete(record.Address)
-	}
-}
-
 // markGone marks an earlier incarnation as gone.
 func (d *draft) markGone(key agateinstance.Key, written agateposition.Position) {
 	earlier, _ := d.instances.Get(key)
