Remember a loss as long as the copies that show it count

Callers saw flows of a server in order reset: answers of two servers to some flows were lost for seconds, one of the servers answered others meanwhile, and the entry held back its resets, but for 2 s only. After the fourth copy the next comes 1.6 s later or more and the copies before count as witnesses until it is overdue, so that the witnesses outlived the doubt about them.

A loss is remembered until the next copy of the flow that shows it is overdue, 2 s at least.

--- a/core/process/agatesteer/note.go
+++ b/core/process/agatesteer/note.go
@@ -88,7 +88,7 @@
 // path concerns several servers, so what is known of one casts doubt on all evidence.
 func (s *Steerer) recordLoss(f *flow, now time.Duration) {
 	if f.Retransmits >= firmRetransmits && f.State.server.exchangeSince >= f.FirstCopyAt {
-		s.lossyUntil = now + s.policy.LossGrace
+		s.lossyUntil = max(s.lossyUntil, now+s.policy.LossGrace, f.NextCopyBy)
 	}
 }
 
--- a/core/process/agatesteer/policy.go
+++ b/core/process/agatesteer/policy.go
@@ -22,8 +22,8 @@
 	// LagGrace is how long an entry that was behind with its packets ignores
 	// retransmissions: longer than the callers' retransmission timeout.
 	LagGrace time.Duration
-	// LossGrace is how long no flow is reset because of silence after one has been
-	// seen whose segments are lost on their way: as long as callers may send copies
+	// LossGrace is how long at least no flow is reset because of silence after one has
+	// been seen whose segments are lost on their way: as long as callers may send copies
 	// of what was lost at the same time.
 	LossGrace time.Duration
 	// FlowIdle is how long a flow is tracked after its last segment, unless the
