Begin the time to contradict anew after a loss or a lag

Callers saw flows reset 50 ms after the last of three witnesses, where other entries have 200 ms to report answers: witnesses from before a loss had begun that time, and it went on while segments counted as lost. After a lag of the entry, flows were reset at the first tick.

While the evidence is in doubt, no server is confirmed as silent and the time hasn't begun.

--- a/core/process/agatesilence/silence.go
+++ b/core/process/agatesilence/silence.go
@@ -306,6 +306,10 @@
 	return now < d.confirmedUntil
 }
 
+// Doubt records that the evidence is in doubt: the server isn't confirmed as silent, and
+// the time in which others may contradict begins when the doubt has ended.
+func (d *Detector) Doubt() { d.confirmableSince, d.confirmedUntil = 0, 0 }
+
 // TrialDue reports whether a suspected server may get a new flow as a trial,
 // where others is the number of entries that this one exchanges evidence with.
 // If the server is still silent, a trial costs its caller one retransmission
--- a/core/process/agatesteer/share.go
+++ b/core/process/agatesteer/share.go
@@ -406,6 +406,7 @@
 func (s *Steerer) resetThreshold(srv *server, now time.Duration) int {
 	switch {
 	case now < s.ignoreRetransmitsUntil, now < s.lossyUntil:
+		srv.silence.Doubt()
 		return 0
 	case s.catalog.Successor(srv.instance).Key != srv.instance.Key:
 		// The evidence on an incarnation says nothing about its successor.
