See a loss also by an answer that comes after the last copies

Callers saw three slow requests at a server in order reset at 0.8 s: answers of two servers to some flows were lost, and one of them showed that by its answer to a request that came after the last copies. The entry looked for that only when a stuck flow sent a copy.

Each answer is compared with the server's unanswered flows. It costs nothing while no flow has sent a copy.

--- a/core/process/agatesteer/note.go
+++ b/core/process/agatesteer/note.go
@@ -25,6 +25,7 @@
 	}
 	if event.ExchangeSince > 0 {
 		srv.exchangeSince = max(srv.exchangeSince, event.ExchangeSince)
+		s.recordLosses(srv, now)
 		s.recordExchange(f, event.ExchangeSince, now)
 	}
 	if event.Unanswered {
@@ -92,6 +93,17 @@
 	}
 }
 
+// recordLosses records whether an answer of the server shows that segments of its
+// unanswered flows are lost.
+func (s *Steerer) recordLosses(srv *server, now time.Duration) {
+	if len(s.unanswered) == 0 {
+		return
+	}
+	for f := range srv.pendingFlows {
+		s.recordLoss(f, now)
+	}
+}
+
 // recordWitness records the caller of an unanswered flow as a witness against the flow's
 // server if it is one.
 func (s *Steerer) recordWitness(f *flow, now time.Duration) {
