--- a/core/process/agatesteer/note.go
+++ b/core/process/agatesteer/note.go
@@ -25,6 +25,7 @@
 	}
 	if event.ExchangeSince > 0 {
 		srv.exchangeSince = max(srv.exchangeSince, event.ExchangeSince)
+		s.recordLosses(srv, now)
 		s.recordExchange(f, event.ExchangeSince, now)
 	}
 	if event.Unanswered {
@@ -88,7 +89,18 @@
 // path concerns several servers, so what is known of one casts doubt on all evidence.
 func (s *Steerer) recordLoss(f *flow, now time.Duration) {
 	if f.Retransmits >= firmRetransmits && f.State.server.exchangeSince >= f.FirstCopyAt {
-		s.lossyUntil = now + s.policy.LossGrace
+		s.lossyUntil = max(s.lossyUntil, now+s.policy.LossGrace, f.NextCopyBy)
+	}
+}
+
+// recordLosses records whether an answer of the server shows that segments of its
+// unanswered flows are lost.
+func (s *Steerer) recordLosses(srv *server, now time.Duration) {
+	if len(s.unanswered) == 0 {
+		return
+	}
+	for f := range srv.pendingFlows {
+		s.recordLoss(f, now)
 	}
 }
 
