--- a/core/process/agatemerge/merge.go
+++ b/core/process/agatemerge/merge.go
@@ -20,9 +20,8 @@
 	// without draining first. It also covers an outage of the source that begins
 	// and ends during one read and therefore causes no failed read.
 	RemovalGrace time.Duration
-	// OutageGrace is how long after the last failure of the source a server is kept
-	// whose registration is removed, and the longest time that it is kept after the
-	// removal was read.
+	// OutageGrace is how long after the last failed read a server is kept whose
+	// registration is removed.
 	OutageGrace time.Duration
 	// LeaseTime is how long a restored source may list a registration whose server has
 	// ended: until the lease has run out.
@@ -37,9 +36,8 @@
 type pendingRemoval struct {
 	// position is that of the removal.
 	position agateposition.Position
-	// readAt is when the removal was read, and deadline when the server is marked as
-	// gone.
-	readAt, deadline time.Duration
+	// deadline is when the server is marked as gone.
+	deadline time.Duration
 }
 
 // Merger owns the newest catalog. It is not safe for concurrent use.
@@ -57,7 +55,7 @@
 	goneSince map[agateinstance.Key]time.Duration
 	// lastCatalog is the catalog from which goneSince was last updated.
 	lastCatalog *agatecatalog.Catalog
-	// lastFailure is when the source was last known to fail; negative before that.
+	// lastFailure is when a read last failed; negative before the first failure.
 	lastFailure time.Duration
 }
 
@@ -77,17 +75,8 @@
 // Catalog returns the newest catalog.
 func (m *Merger) Catalog() *agatecatalog.Catalog { return m.catalog }
 
-// RecordFailure records that the source failed at the given time: a read of this or of
-// another entry did, or one was the first to succeed again. Servers whose removal has been
-// read by then may have lost their registration in the same outage. The source answered
-// when the removal was read, so their time to register again counts from there.
-func (m *Merger) RecordFailure(at time.Duration) {
-	m.lastFailure = max(m.lastFailure, at)
-	for id, pending := range m.pending {
-		pending.deadline = max(pending.deadline, min(at, pending.readAt)+m.policy.OutageGrace)
-		m.pending[id] = pending
-	}
-}
+// RecordFailure records that a read of the source failed.
+func (m *Merger) RecordFailure(now time.Duration) { m.lastFailure = now }
 
 // Apply applies a delivery of a source and reports whether the catalog has
 // changed. Of a delivery from an earlier era than the catalog's, and of one from a later
@@ -262,7 +251,7 @@
 		}
 		scheduled, known := m.pending[instance.ID]
 		if !known {
-			scheduled.readAt, scheduled.deadline = now, m.removalDeadline(instance, now)
+			scheduled.deadline = m.removalDeadline(instance, now)
 		}
 		scheduled.position = scheduled.position.Max(position)
 		m.pending[instance.ID] = scheduled
@@ -271,8 +260,8 @@
 }
 
 // removalDeadline returns when a server whose registration is removed now is
-// marked as gone. One that is draining gets no grace period except soon after a failure
-// of the source: its registration may have lapsed in the outage.
+// marked as gone. One that is draining gets no grace period except soon after a failed
+// read: its registration may have lapsed in the outage.
 func (m *Merger) removalDeadline(instance agateinstance.Instance, now time.Duration) time.Duration {
 	outage := m.lastFailure + m.policy.OutageGrace
 	if instance.State == agateinstance.Draining {
--- a/core/process/agatemerge/merge_test.go
+++ b/core/process/agatemerge/merge_test.go
@@ -68,56 +68,6 @@
 	}
 }
 
-// TestRemovalGraceOfLateFailure checks that a failure of the source which is known only
-// after a removal was read extends the grace period, and never beyond that of an outage
-// which had ended when the removal was read.
-func TestRemovalGraceOfLateFailure(t *testing.T) {
-	const (
-		read = 5 * time.Second
-		step = 10 * time.Millisecond
-	)
-	// A report is that the source failed at a time, which is known from another time on.
-	type report struct{ failed, known time.Duration }
-	for name, c := range map[string]struct {
-		reports []report
-		kept    time.Duration
-	}{
-		"before the removal": {[]report{{read - 500*time.Millisecond, read + 100*time.Millisecond}}, policy.OutageGrace - 500*time.Millisecond},
-		"long before":        {[]report{{read - 1500*time.Millisecond, read + 100*time.Millisecond}}, policy.RemovalGrace},
-		"after the removal":  {[]report{{read + 100*time.Millisecond, read + 200*time.Millisecond}}, policy.OutageGrace},
-		"again and again": {[]report{
-			{read - time.Second, read - time.Second},
-			{read, read},
-			{read + 900*time.Millisecond, read + 900*time.Millisecond},
-			{read + 1800*time.Millisecond, read + 1800*time.Millisecond},
-		}, policy.OutageGrace},
-		"known when the server is gone": {[]report{{read, read + policy.RemovalGrace}}, policy.RemovalGrace},
-	} {
-		t.Run(name, func(t *testing.T) {
-			m := agatemerge.New(policy)
-			m.Apply(changes(1, newRecord(1, 1, agateinstance.Ready)), 0)
-			gone := time.Duration(0)
-			for now := read - time.Second; now < read+2*policy.OutageGrace; now += step {
-				if now == read {
-					m.Apply(removal(1, 2), now)
-				}
-				m.Tick(now)
-				if gone == 0 && state(m, 1) == agateinstance.Gone {
-					gone = now
-				}
-				for _, r := range c.reports {
-					if r.known == now {
-						m.RecordFailure(r.failed)
-					}
-				}
-			}
-			if got := gone - read; got != c.kept {
-				t.Errorf("kept for %s, want %s", got, c.kept)
-			}
-		})
-	}
-}
-
 // TestDrainingServerRemovedImmediately checks that a draining server is gone as
 // soon as its registration is removed.
 func TestDrainingServerRemovedImmediately(t *testing.T) {
--- a/core/process/agatenotice/notice.go
+++ b/core/process/agatenotice/notice.go
@@ -84,10 +84,6 @@
 	Leaving bool `cbor:"10,keyasint,omitempty"`
 	// Failing is whether the sender cannot read the store.
 	Failing bool `cbor:"12,keyasint,omitempty"`
-	// OutageAge is how long ago the sender began or ceased to fail to read the store, in
-	// ms; 0 if not lately. Within a data centre it may be that of an entry of another one
-	// that the sender has heard.
-	OutageAge uint32 `cbor:"18,keyasint,omitempty"`
 	// WantReply asks the receiver for its own heartbeat.
 	WantReply bool `cbor:"11,keyasint,omitempty"`
 }
--- a/core/process/agatesync/beat.go
+++ b/core/process/agatesync/beat.go
@@ -56,7 +56,7 @@
 	var sends []OutgoingNotice
 	if now-s.lastHeartbeat >= s.heartbeatInterval() {
 		s.lastHeartbeat = now
-		sends = fanOut(s.nextRound(), s.withRemoteOutage(s.fullHeartbeat()))
+		sends = fanOut(s.nextRound(), s.fullHeartbeat())
 	}
 	if period := s.remoteHeartbeatInterval(); now-s.lastRemoteHeartbeat >= period {
 		// The jitter spreads the heartbeats of entries that were started together.
@@ -123,7 +123,7 @@
 		Name: s.self.Name, Centre: s.self.Centre, Boot: s.self.Boot,
 		Version: stamp.Version, ConfigEra: stamp.Written.Era, ConfigRevision: stamp.Written.Revision,
 		Era: catalog.Position().Era, Revision: catalog.Revision(), Digest: catalog.Digest(),
-		ConfirmedAge: s.confirmedAge(), Failing: s.storeFailing, OutageAge: s.outageAge(s.ownOutage), Leaving: s.leaving, Loads: s.loads,
+		ConfirmedAge: s.confirmedAge(), Failing: s.storeFailing, Leaving: s.leaving, Loads: s.loads,
 	}
 	s.heartbeatSize = heartbeatBaseSize + loadSize*len(s.loads)
 	return agatenotice.Notice{Heartbeat: b}
--- a/core/process/agatesync/peer.go
+++ b/core/process/agatesync/peer.go
@@ -231,7 +231,7 @@
 	p.name, p.centre, p.boot, p.lastHeard, p.storeFailing, p.heartbeat = b.Name, b.Centre, b.Boot, now, b.Failing, *b
 	p.heartbeat.Loads, p.heartbeat.Peers, p.heartbeat.RemotePeers = nil, nil, nil
 	p.hash = xxhash.Sum64String(b.Name)
-	sends := append(s.receiveOutage(p, now), s.contact(b.Peers, s.self.Centre, now)...)
+	sends := s.contact(b.Peers, s.self.Centre, now)
 	if s.countRemote() < enoughRemote {
 		sends = append(sends, s.contact(b.RemotePeers, "", now)...)
 	}
--- a/core/process/agatesync/policy.go
+++ b/core/process/agatesync/policy.go
@@ -31,11 +31,8 @@
 	AnnounceFanout int
 	// KeepaliveFanout is the number of entries of the data centre that get the
 	// keepalives of a reader, which it sends in addition to the rounds of
-	// heartbeats, and reports that reads of the store have begun or ceased to fail.
+	// heartbeats, and its report that a read of the store has failed.
 	KeepaliveFanout int
-	// OutageReportTime is how long entries report that their reads of the store have
-	// begun or ceased to fail.
-	OutageReportTime time.Duration
 	// MaxFailingReaders is the number of entries that may report a failing store
 	// and be skipped in the order of readers. If more fail, the entries after them
 	// leave the reads to those that already try.
@@ -93,7 +90,6 @@
 		ReaderTimeout:     time.Second,
 		AnnounceFanout:    6,
 		KeepaliveFanout:   128,
-		OutageReportTime:  bound,
 		MaxFailingReaders: 3,
 		PeerExpiry:        3 * time.Second,
 		RemotePeerExpiry:  time.Minute,
--- a/core/process/agatesync/sync.go
+++ b/core/process/agatesync/sync.go
@@ -81,11 +81,8 @@
 	// delay, and lastUrgent is when such loads were last sent.
 	urgentLoads map[uint32]agateload.Load
 	lastUrgent  time.Duration
-	// storeFailing is whether the last read of the store failed. ownOutage is when that
-	// last changed, and remoteOutage when it last did at an entry of another data centre
-	// that this one has heard; 0 if it never did.
-	storeFailing            bool
-	ownOutage, remoteOutage time.Duration
+	// storeFailing is whether the last read of the store failed.
+	storeFailing bool
 	// lastQuery is when the last query was sent, and lastFullQuery when the last
 	// one for all registrations was.
 	lastQuery, lastFullQuery time.Duration
@@ -179,10 +176,8 @@
 func (s *Sync) HandleRead(changes agatechange.Changes, asked, now time.Duration) []OutgoingNotice {
 	s.now = now
 	before := s.Catalog()
-	returned := s.storeFailing
-	if returned {
+	if s.storeFailing {
 		// The store may have been away until now, and servers have to register again.
-		s.ownOutage = now
 		s.merger.RecordFailure(now)
 	}
 	s.merger.Apply(changes, now)
@@ -206,9 +201,6 @@
 		return fanOut(s.localTargets(), s.partialHeartbeat(nil))
 	}
 	sends := s.pushSince(before)
-	if returned {
-		return append(sends, s.reportOutage()...)
-	}
 	if len(sends) == 0 && s.localCount > s.policy.PeersPerRound {
 		// With several rounds of heartbeats to a cycle, some peers would learn too
 		// late that their catalog is the newest.
@@ -219,7 +211,7 @@
 
 // HandleReadFailure records that the store could not be read. On the first failure
 // it returns heartbeats that report it, so that the next entry in the order of
-// readers tries at once, and all readers give servers time to register again.
+// readers tries at once.
 func (s *Sync) HandleReadFailure(now time.Duration) []OutgoingNotice {
 	s.now = now
 	first := !s.storeFailing
@@ -228,8 +220,7 @@
 	if !first {
 		return nil
 	}
-	s.ownOutage = now
-	return s.reportOutage()
+	return fanOut(s.sample(s.localPeers(), s.policy.KeepaliveFanout), s.partialHeartbeat(nil))
 }
 
 // pushSince returns notices that push the changes since an earlier catalog to peers
