Let a restore end what another writer claimed before it

Callers' new flows went to an address that the restored store doesn't list, and the server that it lists got none, until a lease had run out: another writer's entry at another address had marked the server's own record as gone, and after the restore that counted as a removal which the store had confirmed before.

A record that is gone only because of such an entry is taken from the restored store as it is listed; it then ends the other one, as any later write does.

--- a/core/process/agatemerge/merge.go
+++ b/core/process/agatemerge/merge.go
@@ -153,7 +153,7 @@
 	clear(m.pending)
 	records := make([]agateinstance.Instance, len(c.Instances))
 	for i, record := range c.Instances {
-		if known, held := m.catalog.Instance(record.Key); held {
+		if known, held := m.catalog.Instance(record.Key); held && !m.claimed(known) {
 			record = record.Carry(known)
 		}
 		records[i] = record
@@ -162,6 +162,13 @@
 	return c
 }
 
+// claimed reports whether an incarnation is gone only because its server is registered
+// with the same start time at another address.
+func (m *Merger) claimed(instance agateinstance.Instance) bool {
+	newest, held := m.catalog.Newest(instance.ID)
+	return held && newest.Key != instance.Key && newest.StartTime == instance.StartTime && newest.State != agateinstance.Gone
+}
+
 // withConfirmedStates returns a listing in which the states of those records are
 // confirmed that the catalog holds with a state from an earlier era.
 func (m *Merger) withConfirmedStates(c agatechange.Changes) agatechange.Changes {
