Keep the digest of a registration as it was

The revision identifies what was written under a server's id, so the address adds nothing to the digest, and entries of the version before would ask for listings throughout an upgrade.

--- a/core/version/agateinstance/instance.go
+++ b/core/version/agateinstance/instance.go
@@ -156,13 +156,11 @@
 	if i.State == Gone {
 		return 0
 	}
-	var input [40]byte
+	var input [32]byte
 	binary.BigEndian.PutUint64(input[:], i.ID)
 	binary.BigEndian.PutUint64(input[8:], uint64(i.StartTime))
 	binary.BigEndian.PutUint64(input[16:], uint64(i.Revision))
 	copy(input[24:], i.State)
-	copy(input[32:], i.Address.IP[:])
-	binary.BigEndian.PutUint16(input[36:], i.Address.Port)
 	return xxhash.Sum64(input[:])
 }
 
