Refuse no duplicate of the SYN of a flow that is open here

Callers saw their open flow reset by an entry that had passed on its segments but not its SYN, when a duplicate of the first SYN came and the entry had no server for new flows: the flow's server was draining.

A SYN of a flow that is open here is dropped where there is no server or route for it. A caller that uses the port of an open flow for a new one sends its copies.

--- a/core/process/agatesteer/steer.go
+++ b/core/process/agatesteer/steer.go
@@ -287,11 +287,12 @@
 // decideSYN decides on a SYN.
 func (s *Steerer) decideSYN(segment agatesegment.Segment, now time.Duration) Verdict {
 	isCopy := segment.Acknowledged > 0
-	if f := s.flows.Find(segment.Flow); f != nil && f.HasSYN(segment) {
-		if f.Phase != agatetrack.Opening {
+	if f := s.flows.Find(segment.Flow); f != nil {
+		if f.Phase != agatetrack.Opening && f.HasSYN(segment) {
 			return Verdict{Action: Drop, Reason: Stale, server: f.State.server}
 		}
-		isCopy = true
+		// The SYN of a flow that is open here may have gone through another entry.
+		isCopy = isCopy || f.HasSYN(segment) || f.Phase == agatetrack.Open
 	}
 	vip, ok := s.catalog.VIP(segment.Flow.Service())
 	if !ok {
