review: entry with the id 0 routes work to a server of another service

An entry of another writer with the id 0 and the address of a living server is used. Its packets get a prefix of 0, which addresses any server, so the server that listens there runs the requests of the service that the entry names.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -31,9 +30,9 @@
 	return nil
 }
 
-// oddEntry lets another writer leave entries under a server's id in which a field is missing or
-// of another type. The server writes its own again at its next beat.
-func oddEntry(w *world) error {
+// entryOfIDZero lets another writer leave an entry under an id of 0 that lacks a field and has
+// the address of a living server of another service.
+func entryOfIDZero(w *world) error {
 	if err := w.twoServices([]string{"zone-a", "zone-b", "zone-c"}); err != nil {
 		return err
 	}
@@ -41,107 +40,115 @@
 		return err
 	}
 	time.Sleep(6 * time.Second)
-	target := w.servers[0x51aa000001]
-	for _, change := range []func(fields map[string]any){
-		func(fields map[string]any) { delete(fields, "version") },
-		func(fields map[string]any) { delete(fields, "sequence") },
-		func(fields map[string]any) { fields["version"] = 7 },
-		// With a time of its own, the entry outlasts the server's next beat.
-		func(fields map[string]any) {
-			delete(fields, "version")
-			fields["born"] = time.Now().UnixMilli()
-		},
-	} {
-		if w.trouble {
-			target.mutex.Lock()
-			e := target.entry
-			target.mutex.Unlock()
-			fields := map[string]any{
-				"service": "intake", "addr": e.Addr, "zone": e.Zone, "version": e.Version, "slots": e.Slots, "state": e.State, "cold_left_ms": 0, "sequence": e.Sequence, "born": e.Born,
-			}
-			change(fields)
-			value, _ := json.Marshal(fields)
-			w.record.line("another writer leaves at %s: %s, at revision %d", keyOf(target.id), value, w.store.put(keyOf(target.id), value))
-		}
-		time.Sleep(4 * time.Second)
+	if w.trouble {
+		target := w.servers[0x51aa000001]
+		value, _ := json.Marshal(map[string]any{
+			"service": "intake", "addr": target.entry.Addr, "zone": target.entry.Zone, "slots": slots, "state": "ready", "cold_left_ms": 0, "sequence": 1, "born": time.Now().UnixMilli(),
+		})
+		w.record.line("another writer leaves at %s: %s, at revision %d", keyOf(0), value, w.store.put(keyOf(0), value))
 	}
-	time.Sleep(8 * time.Second)
+	time.Sleep(12 * time.Second)
 	return nil
 }
 
-// readersLost has the entries that read the store lose power just after a server's entry lapses.
-func readersLost(w *world) error {
-	zones := []string{"zone-a", "zone-a", "zone-a", "zone-b", "zone-b", "zone-c", "zone-c"}
-	if err := w.twoServices(zones); err != nil {
-		return err
-	}
-	if err := w.open(5, 200*time.Millisecond); err != nil {
+// otherSpelling lets another writer leave entries that can't be read, at keys that spell the
+// numbers of all servers of a service in another way than the servers' own keys.
+func otherSpelling(w *world) error {
+	if err := w.twoServices([]string{"zone-a", "zone-b", "zone-c"}); err != nil {
 		return err
 	}
-	time.Sleep(2 * time.Second)
-	if err := w.restartReaders(zones); err != nil {
+	if err := w.open(2, 300*time.Millisecond); err != nil {
 		return err
 	}
-	target := w.servers[0x51aa000001]
-	w.record.line("server %x: its writes reach the store no longer", target.id)
-	target.mute(true)
-	for w.store.holds(keyOf(target.id)) {
-		time.Sleep(5 * time.Millisecond)
-	}
-	time.Sleep(killDelay)
+	time.Sleep(6 * time.Second)
 	if w.trouble {
-		lost := w.readers(zones)
-		from := now()
-		for _, each := range lost {
-			w.record.line("entry %d, which reads the store for %s, loses power", each.place, each.zone)
-			each.cutPower()
-		}
-		time.Sleep(darkTime)
-		for _, each := range lost {
-			w.record.line("entry %d has power again", each.place)
-			if err := each.power(); err != nil {
-				return err
+		for id, v := range w.servers {
+			if v.entry.Service != "maps" {
+				continue
 			}
-			w.record.outOfTouch(each.place, from, now()+stableWindow)
+			key := fmt.Sprintf("servers/%X", id)
+			w.record.line("another writer leaves at %s, where the server's own key is %s, what can't be read, at revision %d", key, keyOf(id), w.store.put(key, []byte("{\"service\":")))
 		}
 	}
-	time.Sleep(12 * time.Second)
+	time.Sleep(14 * time.Second)
 	return nil
 }
 
-// readers returns the entry of each zone that reads the store.
-func (w *world) readers(zones []string) []*entry {
-	var all []*entry
-	for _, zone := range slices.Compact(slices.Clone(zones)) {
-		place := w.store.reader(func(p int) bool { return zones[p-1] == zone })
-		all = append(all, w.fleet.entries[place-1])
-	}
-	return all
-}
-
-// restartReaders stops the entries that read the store and starts them again, one after the
-// other, as planned work does.
-func (w *world) restartReaders(zones []string) error {
-	for _, each := range w.readers(zones) {
-		from := now()
-		w.record.line("entry %d is stopped and started again", each.place)
-		if err := each.restart(); err != nil {
-			return err
-		}
-		w.record.outOfTouch(each.place, from, now()+stableWindow)
+// drainedServer lets another writer leave an entry under a server's id that lacks a field and has
+// a start time of its own. The server writes its own again, and drains later on.
+func drainedServer(w *world) error {
+	if err := w.twoServices([]string{"zone-a", "zone-b", "zone-c"}); err != nil {
+		return err
 	}
-	if err := w.routers.waitReady(); err != nil {
+	if err := w.open(2, 300*time.Millisecond); err != nil {
 		return err
 	}
-	time.Sleep(stableWindow)
+	time.Sleep(6 * time.Second)
+	target := w.servers[0x72bb000001]
+	if w.trouble {
+		e := target.entry
+		value, _ := json.Marshal(map[string]any{
+			"service": e.Service, "addr": e.Addr, "zone": e.Zone, "slots": e.Slots, "state": e.State, "cold_left_ms": 0, "sequence": 1, "born": time.Now().UnixMilli(),
+		})
+		w.record.line("another writer leaves at %s: %s, at revision %d", keyOf(target.id), value, w.store.put(keyOf(target.id), value))
+	}
+	time.Sleep(6 * time.Second)
+	// Another server takes its place.
+	if err := w.serve(0x72bb900001, 21, "intake", "zone-a"); err != nil {
+		return err
+	}
+	time.Sleep(time.Second)
+	target.drain()
+	time.Sleep(drainTime + 6*time.Second)
+	w.record.line("server %x ends", target.id)
+	target.stop()
+	w.store.leave(keyOf(target.id))
+	time.Sleep(3 * time.Second)
 	return nil
 }
 
-const (
-	// killDelay is the time from a removal to the loss of power, and darkTime how long that lasts.
-	killDelay = 800 * time.Millisecond
-	darkTime  = 2 * time.Second
-)
+// darkTime is how long a lost machine has no power, the default of the bench.
+const darkTime = 5 * time.Second
+
+// stoppedEntry has a machine lost and another one of its zone stopped, while a config drops a
+// route.
+func stoppedEntry(w *world) error {
+	zones := []string{"zone-a", "zone-a", "zone-a", "zone-b", "zone-c"}
+	if err := w.twoServices(zones); err != nil {
+		return err
+	}
+	w.route("dropped", "idempotent", "maps", 10*time.Millisecond, 1200*time.Millisecond, 0)
+	w.configure(5)
+	// The clients are those of the first zone.
+	w.routers.zone = "zone-a"
+	if err := w.open(3, 200*time.Millisecond); err != nil {
+		return err
+	}
+	time.Sleep(6 * time.Second)
+	lost, stopped := w.fleet.entries[0], w.fleet.entries[1]
+	if w.trouble {
+		w.record.line("entry %d loses power", lost.place)
+		w.record.outOfTouch(lost.place, now(), now()+darkTime+2*stableWindow)
+		lost.cutPower()
+		time.AfterFunc(darkTime, func() {
+			if err := lost.power(); err != nil {
+				w.record.line("entry %d: %v", lost.place, err)
+			}
+		})
+		time.Sleep(200 * time.Millisecond)
+	}
+	w.record.line("entry %d gets SIGTERM", stopped.place)
+	from := now()
+	w.record.outOfTouch(stopped.place, from, from+stableWindow)
+	ended := make(chan error, 1)
+	go func() { ended <- stopped.restart() }()
+	time.Sleep(1200 * time.Millisecond)
+	w.drop("dropped", 9)
+	err := <-ended
+	w.record.outOfTouch(stopped.place, now(), now()+stableWindow)
+	time.Sleep(6 * time.Second)
+	return err
+}
 
 // settingsChanged has the settings of some machines change, before all are stopped and started
 // in turn.
@@ -184,7 +191,7 @@
 		}
 	}
 	if len(ends) >= 2 {
-		w.record.broke("FAULT", "the program doesn't start: it ended by itself at %s", strings.Join(ends, ", "))
+		w.record.broke("Fault", "the program doesn't start: it ended by itself at %s", strings.Join(ends, ", "))
 	}
 	return nil
 }
--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -164,6 +164,9 @@
 		case a := <-inbox:
 			switch {
 			case a.has(bitRST):
+				if a.sum == 0 {
+					c.all.record.refused(id, place(a.from))
+				}
 				return "unopened: reset"
 			case a.has(bitSYN) && a.has(bitACK) && a.ack == own+1:
 				peer, echo, open = a.seq+1, a.echo, true
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -26,6 +26,7 @@
 	stableWindow = 4 * time.Second
 	restartDelay = 500 * time.Millisecond
 	graceTime    = 6 * time.Second
+	configTime   = 3 * time.Second
 )
 
 // fleet is the entries of a run.
@@ -124,8 +125,11 @@
 		zones[zone] = "region-1"
 	}
 	var seeds []any
-	for p := 1; p <= min(3, len(f.entries)); p++ {
-		seeds = append(seeds, g.at(entryKind, p, g.control).String())
+	// The first machine of each zone.
+	for i, zone := range f.zones {
+		if slices.Index(f.zones, zone) == i && len(seeds) < 3 {
+			seeds = append(seeds, g.at(entryKind, i+1, g.control).String())
+		}
 	}
 	whole := func(n int) json.Number { return json.Number(fmt.Sprint(n)) }
 	return map[string]any{
@@ -265,6 +269,8 @@
 type routers struct {
 	fleet *fleet
 	mutex sync.Mutex
+	// zone is the zone of the clients, empty for all.
+	zone string
 	// misses counts the probes in turn that an entry has missed.
 	misses []int
 }
@@ -306,24 +312,36 @@
 	return count
 }
 
-// choose returns the entry for a flow's packet: the first in the flow's order of those in
-// rotation, or of all if fewer than half are.
+// choose returns the entry for a flow's packet: the first in the flow's order of those of the
+// clients' zone that are in rotation, or of all of that zone if fewer than half are.
 func (r *routers) choose(flow flowID) (netip.AddrPort, bool) {
-	all := r.ready()*2 < len(r.misses)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	best, highest := 0, uint64(0)
-	for i, m := range r.misses {
-		if m >= 2 && !all {
+	var own, ready []int
+	for i, e := range r.fleet.entries {
+		if r.zone != "" && e.zone != r.zone {
 			continue
 		}
+		own = append(own, i)
+		if r.misses[i] < 2 {
+			ready = append(ready, i)
+		}
+	}
+	if 2*len(ready) < len(own) && len(ready) > 0 {
+		ready = own
+	}
+	best, highest := -1, uint64(0)
+	for _, i := range ready {
 		h := fnv.New64a()
 		fmt.Fprint(h, flow, i)
-		if score := h.Sum64() * 0x9e3779b97f4a7c15; best == 0 || score > highest {
-			best, highest = i+1, score
+		if score := h.Sum64() * 0x9e3779b97f4a7c15; best < 0 || score > highest {
+			best, highest = i, score
 		}
 	}
-	return r.fleet.ground.at(entryKind, best, r.fleet.ground.data), best > 0
+	if best < 0 {
+		return netip.AddrPort{}, false
+	}
+	return r.fleet.ground.at(entryKind, best+1, r.fleet.ground.data), true
 }
 
 // waitReady waits until all entries are in rotation.
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -17,9 +18,11 @@
 	rule string
 	play func(*world) error
 }{
-	"odd-entry": {"ROUTE", oddEntry},
-	"readers":   {"DRAIN", readersLost},
-	"settings":  {"FAULT", settingsChanged},
+	"id-zero":  {"ROUTE", entryOfIDZero},
+	"spelling": {"CONFIG", otherSpelling},
+	"drained":  {"DRAIN", drainedServer},
+	"stopped":  {"CONFIG", stoppedEntry},
+	"settings": {"Fault", settingsChanged},
 }
 
 // world is what a case plays in.
@@ -115,6 +118,16 @@
 	}
 	value, _ := json.Marshal(object{"version": version, "routes": routes, "services": services, "limits": object{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
 	w.record.line("store: config %d at revision %d", version, w.store.put("op/config", value))
+	for _, r := range w.routes {
+		w.record.routed(r.path)
+	}
+}
+
+// drop writes a config without a route.
+func (w *world) drop(name string, version int) {
+	w.routes = slices.DeleteFunc(slices.Clone(w.routes), func(r route) bool { return r.name == name })
+	w.configure(version)
+	w.record.dropped("/" + name)
 }
 
 // open starts the entries at once, and the clients once all are in rotation.
--- a/review/standin-2/record.go
+++ b/review/standin-2/record.go
@@ -26,8 +26,12 @@
 	touchless map[int][]span
 	// allowed holds the services that some config ever gave to a path.
 	allowed map[string][]string
-	broken  map[string][]string
-	drain   time.Duration
+	// routedAt holds when the store confirmed the first config with a path.
+	routedAt map[string]time.Duration
+	// droppedAt holds when the store confirmed a config without a path.
+	droppedAt map[string]time.Duration
+	broken    map[string][]string
+	drain     time.Duration
 }
 
 // span is a span of time.
@@ -37,7 +41,6 @@
 type request struct {
 	id, path   string
 	sent       time.Duration
-	opened     string
 	ran        []string
 	answer     string
 	answeredAt time.Duration
@@ -47,6 +50,7 @@
 	return &record{
 		requests: make(map[string]*request), owners: make(map[flowID]*server), gone: make(map[string]time.Duration),
 		touchless: make(map[int][]span), allowed: make(map[string][]string), broken: make(map[string][]string), drain: drainTime,
+		routedAt: make(map[string]time.Duration), droppedAt: make(map[string]time.Duration),
 	}
 }
 
@@ -104,11 +108,31 @@
 // leaving notes that the store has confirmed that a server is draining.
 func (r *record) leaving(id uint64) { r.removed(keyOf(id)) }
 
-// returned notes that a server is registered again, by another start or after a silence.
-func (r *record) returned(id uint64) {
+// dropped notes that the store has confirmed a config without a path.
+func (r *record) dropped(path string) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	delete(r.gone, keyOf(id))
+	r.droppedAt[path] = now()
+}
+
+// routed notes that the store has confirmed a config with a path.
+func (r *record) routed(path string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if _, known := r.routedAt[path]; !known {
+		r.routedAt[path] = now()
+	}
+}
+
+// refused notes that an entry has reset a flow that was not open, and judges CONFIG.
+func (r *record) refused(id string, entry int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	q := r.requests[id]
+	_, dropped := r.droppedAt[q.path]
+	if at := r.routedAt[q.path]; !dropped && q.sent > at+configTime && r.inTouch(entry, now()) {
+		r.breaks("CONFIG", "request %s of %s was refused by entry %d, %.0f ms after the store's confirmation of a config with that route", id, q.path, entry, float64((q.sent - at).Milliseconds()))
+	}
 }
 
 func (r *record) sent(id, path string) {
@@ -135,8 +159,9 @@
 	return r.owners[id]
 }
 
-// ran notes that a server began to work on a request, and judges ROUTE.
-func (r *record) ran(id, path string, v *server, flow flowID) {
+// ran notes that a server began to work on a request, and judges ROUTE, and CONFIG by the packet
+// that opened the flow.
+func (r *record) ran(id string, v *server, o opening) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	q := r.requests[id]
@@ -148,6 +173,9 @@
 	if len(q.ran) > 1 {
 		r.breaks("TWICE", "request %s ran %d times", id, len(q.ran))
 	}
+	if at, dropped := r.droppedAt[q.path]; dropped && q.sent > at+configTime && r.inTouch(o.entry, o.arrived) {
+		r.breaks("CONFIG", "request %s of %s ran at server %x, sent through entry %d %.0f ms after the store's confirmation of a config without that route", id, q.path, v.id, o.entry, float64((q.sent - at).Milliseconds()))
+	}
 	if allowed := r.allowed[q.path]; !slices.Contains(allowed, v.service()) {
 		r.breaks("ROUTE", "request %s of %s, which configs give to %s, ran at server %x of service %s", id, q.path, strings.Join(allowed, ", "), v.id, v.service())
 	}
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -74,14 +74,12 @@
 	flows   map[flowID]*serverFlow
 	busy    chan struct{}
 	queued  chan struct{}
-	// silent is whether its writes don't reach the store.
-	silent bool
-	ended  chan struct{}
+	ended   chan struct{}
 }
 
 func keyOf(id uint64) string { return fmt.Sprintf("servers/i-%010x", id) }
 
-// startServer starts a server and registers it. A bornAhead other than 0 is added to its start time.
+// startServer starts a server and registers it.
 func startServer(g *ground, s *store, r *record, id uint64, place int, service, zone string) (*server, error) {
 	a := g.at(serverKind, place, g.service)
 	udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
@@ -138,23 +136,14 @@
 func (v *server) write() {
 	v.mutex.Lock()
 	v.entry.Sequence++
-	e, silent := v.entry, v.silent
+	e := v.entry
 	v.mutex.Unlock()
 	select {
 	case <-v.ended:
 		return
 	default:
 	}
-	if !silent {
-		v.store.beat(keyOf(v.id), e)
-	}
-}
-
-// mute cuts the server off from the store, or ends that.
-func (v *server) mute(silent bool) {
-	v.mutex.Lock()
-	defer v.mutex.Unlock()
-	v.silent = silent
+	v.store.beat(keyOf(v.id), e)
 }
 
 // drain makes the server say that it is draining.
@@ -252,12 +241,12 @@
 		return
 	}
 	f.working = true
-	go v.run(id, f, p)
+	go v.run(id, f, p, f.opening)
 }
 
 // run runs a request and answers it.
-func (v *server) run(id flowID, f *serverFlow, p packet) {
-	request, path, work := parseRequest(p.data)
+func (v *server) run(id flowID, f *serverFlow, p packet, o opening) {
+	request, work := parseRequest(p.data)
 	status, body := "200 OK", strings.Repeat("a", answerSize)
 	select {
 	case v.queued <- struct{}{}:
@@ -266,7 +255,7 @@
 		case <-v.ended:
 			return
 		}
-		v.record.ran(request, path, v, id)
+		v.record.ran(request, v, o)
 		time.Sleep(work)
 		<-v.busy
 		<-v.queued
@@ -312,13 +301,9 @@
 	}
 }
 
-// parseRequest returns the id, the path and the work of a request.
-func parseRequest(data []byte) (id, path string, work time.Duration) {
-	lines := strings.Split(string(data), "\r\n")
-	if words := strings.Fields(lines[0]); len(words) > 1 {
-		path = words[1]
-	}
-	for _, line := range lines[1:] {
+// parseRequest returns the id and the work of a request.
+func parseRequest(data []byte) (id string, work time.Duration) {
+	for _, line := range strings.Split(string(data), "\r\n") {
 		name, value, _ := strings.Cut(line, ": ")
 		switch name {
 		case "Agatereach-Request-Id":
@@ -328,7 +313,7 @@
 			work = time.Duration(ms) * time.Millisecond
 		}
 	}
-	return id, path, work
+	return id, work
 }
 
 const (
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -41,14 +41,7 @@
 	events  []storeItem
 	beats   map[string]time.Duration
 	changed chan struct{}
-	// watchers holds, for each place of an entry, when it last read, and listed whether it
-	// has listed.
-	watchers map[int]time.Duration
-	listings map[int]int
-	// configAcked holds when each version of the config was confirmed.
-	record *record
-	ground *ground
-	close  []func()
+	record  *record
 }
 
 // newStore returns a store that listens at one address for each entry, so that it can tell
@@ -56,16 +49,14 @@
 func newStore(g *ground, places int, r *record) (*store, error) {
 	s := &store{
 		items: make(map[string]storeItem), beats: make(map[string]time.Duration), changed: make(chan struct{}),
-		watchers: make(map[int]time.Duration), listings: make(map[int]int), record: r, ground: g, rev: 1,
+		record: r, rev: 1,
 	}
 	for p := 1; p <= places; p++ {
 		l, err := net.Listen("tcp4", g.at(storeKind, p, g.store).String())
 		if err != nil {
 			return nil, err
 		}
-		server := &http.Server{Handler: s.handler(p)}
-		go func() { _ = server.Serve(l) }()
-		s.close = append(s.close, func() { _ = server.Close() })
+		go func() { _ = http.Serve(l, s.handler(p)) }()
 	}
 	go s.expire()
 	return s, nil
@@ -139,14 +130,6 @@
 	s.record.line("store: %s is %s of %s at revision %d", key, e.State, e.Service, s.rev)
 }
 
-// holds reports whether there is an item.
-func (s *store) holds(key string) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	_, held := s.items[key]
-	return held
-}
-
 // leave removes the entry of a server that has left.
 func (s *store) leave(key string) {
 	s.mutex.Lock()
@@ -155,23 +138,10 @@
 	s.remove(key)
 }
 
-// reader returns the place of the entry that has read last and waits for a change.
-func (s *store) reader(eligible func(place int) bool) int {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	best := 0
-	for p, at := range s.watchers {
-		if eligible(p) && (best == 0 || at > s.watchers[best]) {
-			best = p
-		}
-	}
-	return best
-}
-
 func (s *store) handler(entry int) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-range", func(w http.ResponseWriter, r *http.Request) { s.list(w, r, entry) })
-	mux.HandleFunc("GET /kv-watch", func(w http.ResponseWriter, r *http.Request) { s.watch(w, r, entry) })
+	mux.HandleFunc("GET /kv-watch", s.watch)
 	return mux
 }
 
@@ -185,7 +155,6 @@
 	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
 	s.mutex.Lock()
 	if after == "" {
-		s.listings[entry]++
 		s.record.line("store: entry %d lists at revision %d", entry, s.rev)
 	}
 	var keys []string
@@ -209,7 +178,7 @@
 	answer(w, body)
 }
 
-func (s *store) watch(w http.ResponseWriter, r *http.Request, entry int) {
+func (s *store) watch(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(answerTime)
 	prefix := r.URL.Query().Get("prefix")
 	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
@@ -218,7 +187,6 @@
 	defer timeout.Stop()
 	for {
 		s.mutex.Lock()
-		s.watchers[entry] = now()
 		events := []storeItem{}
 		size, upTo := 0, s.rev
 		for _, e := range s.events {
