Settings: figures may be fractions

Cause: the settings held memory and the times of bounds as whole numbers, and the decoder refuses a number with a point for these, also 6.0. The running processes refused the whole file for it, so that new seeds were lost too. Evidence: the error names agatesetup.Bounds.Grace of type int. A fault in the value, or in the template, would be reported by key or as a syntax error.

Change: all figures are floating point. They are checked before they become times, so that NaN, infinity and what overflows are faults of their setting. The least time stays 1 ms.

--- a/bench/agatesoak/fleet.go
+++ b/bench/agatesoak/fleet.go
@@ -76,9 +76,8 @@
 		MemoryMB: memory,
 		Cold:     agatesetup.Cold{Over: coldOver, Slack: coldSlack},
 		Bounds: agatesetup.Bounds{
-			Config: int(bounds.Config.Milliseconds()), Drain: int(bounds.Drain.Milliseconds()),
-			Evacuate: int(bounds.Evacuate.Milliseconds()),
-			Grace:    int(grace.Seconds()), Lifetime: int(bounds.Lifetime.Seconds()),
+			Config: milliseconds(bounds.Config), Drain: milliseconds(bounds.Drain), Evacuate: milliseconds(bounds.Evacuate),
+			Grace: grace.Seconds(), Lifetime: bounds.Lifetime.Seconds(),
 		},
 	}
 	text, err := toml.Marshal(setup)
@@ -88,6 +87,9 @@
 	return os.WriteFile(e.settings, text, 0o600)
 }
 
+// milliseconds returns a duration as a number of ms.
+func milliseconds(d time.Duration) float64 { return d.Seconds() * 1000 }
+
 // seeds returns three entries' addresses, others for each turn.
 func (s *soak) seeds(turn int) []netip.AddrPort {
 	const count = 3
--- a/core/process/agatesetup/setup.go
+++ b/core/process/agatesetup/setup.go
@@ -14,9 +14,11 @@
 	"github.com/pelletier/go-toml/v2"
 )
 
-// Maximum values of settings.
+// Limits on the values of settings.
 const (
 	maxMemoryMB = 1 << 20
+	// minDuration and maxDuration limit all times.
+	minDuration = time.Millisecond
 	maxDuration = time.Hour
 	// maxLinkMbps is the fastest link that is accepted, in Mbit/s.
 	maxLinkMbps = 1e6
@@ -29,7 +31,7 @@
 	maxHedgeShare = 0.1
 )
 
-// Setup holds the settings of an entry process.
+// Setup holds the settings of an entry process. Any figure may be a fraction.
 type Setup struct {
 	// Name is the name of the VM.
 	Name string `toml:"name"`
@@ -50,8 +52,8 @@
 	Seeds []netip.AddrPort `toml:"seeds"`
 	// Store is the address of the store of registrations and configuration.
 	Store netip.AddrPort `toml:"store"`
-	// MemoryMB is the memory limit of the process in MB.
-	MemoryMB int `toml:"memory"`
+	// MemoryMB is the memory limit of the process in MB, 1 to maxMemoryMB.
+	MemoryMB float64 `toml:"memory"`
 	// Link is the bandwidth of the VM's link in Mbit/s; 0 if it is not known.
 	Link float64 `toml:"link"`
 	// Bounds holds the guaranteed times.
@@ -78,22 +80,22 @@
 	Share float64 `toml:"share"`
 }
 
-// Bounds holds the times that the deployment guarantees.
+// Bounds holds the times that the deployment guarantees, each minDuration to maxDuration.
 type Bounds struct {
 	// Config is the maximum time until a configuration is applied, in ms.
-	Config int `toml:"config"`
+	Config float64 `toml:"config"`
 	// Drain is the maximum time until a draining server gets no new flows, in ms.
-	Drain int `toml:"drain"`
+	Drain float64 `toml:"drain"`
 	// Grace is the time between the stop signal and the kill, in s.
-	Grace int `toml:"grace"`
+	Grace float64 `toml:"grace"`
 	// Lifetime is the maximum duration of a flow, in s.
-	Lifetime int `toml:"lifetime"`
+	Lifetime float64 `toml:"lifetime"`
 	// Beat is the time between two writes of a server to the store, in ms; 0 if it is
 	// not known.
-	Beat int `toml:"beat,omitempty"`
+	Beat float64 `toml:"beat,omitempty"`
 	// Evacuate is the maximum time until an evacuated data centre gets no new flows, in
 	// ms; 0 if it is not known.
-	Evacuate int `toml:"evacuate,omitempty"`
+	Evacuate float64 `toml:"evacuate,omitempty"`
 }
 
 // ReadError reports a settings file that cannot be read.
@@ -184,23 +186,41 @@
 		check(!address.IsValid() || !address.Addr().Is4() || address.Port() == 0, key, "must be an IPv4 address with a port")
 	}
 	check(!(s.Link >= 0) || s.Link > maxLinkMbps, "link", "must be a number of Mbit/s, or left out")
-	check(s.MemoryMB < 1 || s.MemoryMB > maxMemoryMB, "memory", "must be a number of MB")
-	check(s.Bounds.Beat < 0 || s.Bounds.BeatTime() > maxDuration, "bounds.beat", "must be a time of at most an hour, or left out")
-	check(s.Bounds.Evacuate < 0 || s.Bounds.EvacuateTime() > maxDuration, "bounds.evacuate", "must be a time of at most an hour, or left out")
+	check(!(s.MemoryMB >= 1 && s.MemoryMB <= maxMemoryMB), "memory", "must be a number of MB")
 	check(s.Cold.Over != 0 && !(s.Cold.Over >= 1 && s.Cold.Over <= maxColdOver), "cold.over", "must be a factor of 1 to 100, or left out")
 	check(!(s.Cold.Slack >= 0 && s.Cold.Slack <= maxColdSlack), "cold.slack", "must be a number of flows, or left out")
 	check(!(s.Hedge.Share >= 0 && s.Hedge.Share <= maxHedgeShare), "hedge.share", "must be 0 to 0.1, or left out")
-	for key, value := range map[string]time.Duration{
-		"bounds.config":   s.Bounds.ConfigTime(),
-		"bounds.drain":    s.Bounds.DrainTime(),
-		"bounds.grace":    s.Bounds.GraceTime(),
-		"bounds.lifetime": s.Bounds.LifetimeTime(),
+	for key, value := range map[string]struct {
+		figure   float64
+		unit     time.Duration
+		optional bool
+	}{
+		"bounds.config":   {s.Bounds.Config, time.Millisecond, false},
+		"bounds.drain":    {s.Bounds.Drain, time.Millisecond, false},
+		"bounds.grace":    {s.Bounds.Grace, time.Second, false},
+		"bounds.lifetime": {s.Bounds.Lifetime, time.Second, false},
+		"bounds.beat":     {s.Bounds.Beat, time.Millisecond, true},
+		"bounds.evacuate": {s.Bounds.Evacuate, time.Millisecond, true},
 	} {
-		check(value <= 0 || value > maxDuration, key, "must be a positive time of at most an hour")
+		if value.optional && value.figure == 0 {
+			continue
+		}
+		check(!isTime(value.figure, value.unit), key, "must be a time of 1 ms to an hour")
 	}
 	return faults
 }
 
+// isTime reports whether a figure is a time from minDuration to maxDuration. NaN is not.
+func isTime(figure float64, unit time.Duration) bool {
+	nanoseconds := figure * float64(unit)
+	return nanoseconds >= float64(minDuration) && nanoseconds <= float64(maxDuration)
+}
+
+// timeOf returns the duration of a figure for which isTime holds, or of 0.
+func timeOf(figure float64, unit time.Duration) time.Duration {
+	return time.Duration(figure * float64(unit))
+}
+
 // WithSeeds returns the settings with other seeds.
 func (s *Setup) WithSeeds(seeds []netip.AddrPort) *Setup {
 	next := *s
@@ -213,21 +233,21 @@
 func (s *Setup) LinkBytes() int { return int(s.Link * 1e6 / 8) }
 
 // ConfigTime returns the maximum time until a configuration is applied.
-func (b Bounds) ConfigTime() time.Duration { return time.Duration(b.Config) * time.Millisecond }
+func (b Bounds) ConfigTime() time.Duration { return timeOf(b.Config, time.Millisecond) }
 
 // DrainTime returns the maximum time until a draining server gets no new flows.
-func (b Bounds) DrainTime() time.Duration { return time.Duration(b.Drain) * time.Millisecond }
+func (b Bounds) DrainTime() time.Duration { return timeOf(b.Drain, time.Millisecond) }
 
 // GraceTime returns the time between the stop signal and the kill.
-func (b Bounds) GraceTime() time.Duration { return time.Duration(b.Grace) * time.Second }
+func (b Bounds) GraceTime() time.Duration { return timeOf(b.Grace, time.Second) }
 
 // BeatTime returns the time between two writes of a server to the store, 0 if it is not
 // known.
-func (b Bounds) BeatTime() time.Duration { return time.Duration(b.Beat) * time.Millisecond }
+func (b Bounds) BeatTime() time.Duration { return timeOf(b.Beat, time.Millisecond) }
 
 // LifetimeTime returns the maximum duration of a flow.
-func (b Bounds) LifetimeTime() time.Duration { return time.Duration(b.Lifetime) * time.Second }
+func (b Bounds) LifetimeTime() time.Duration { return timeOf(b.Lifetime, time.Second) }
 
 // EvacuateTime returns the maximum time until an evacuated data centre gets no new flows,
 // 0 if it is not known.
-func (b Bounds) EvacuateTime() time.Duration { return time.Duration(b.Evacuate) * time.Millisecond }
+func (b Bounds) EvacuateTime() time.Duration { return timeOf(b.Evacuate, time.Millisecond) }
--- a/core/process/agatesetup/setup_test.go
+++ b/core/process/agatesetup/setup_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -79,6 +80,48 @@
 	}
 }
 
+// TestFractions guards against a process that does not start because a figure of its
+// settings is a fraction.
+func TestFractions(t *testing.T) {
+	text := strings.NewReplacer(
+		"memory = 284", "memory = 284.5", "link = 1000.0", "link = 62.5",
+		"config = 3000", "config = 2500.5", "drain = 3000", "drain = 3000.0", "grace = 6", "grace = 6.5", "lifetime = 60", "lifetime = 6.05e1",
+	).Replace(valid) + "beat = 1200.25\nevacuate = 4999.5\n[cold]\nover = 1.5\nslack = 4.5\n[hedge]\nshare = 0.03\n"
+	s, err := agatesetup.Parse("x", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct{ got, want time.Duration }{
+		"config":   {s.Bounds.ConfigTime(), 2500500 * time.Microsecond},
+		"drain":    {s.Bounds.DrainTime(), 3 * time.Second},
+		"grace":    {s.Bounds.GraceTime(), 6500 * time.Millisecond},
+		"lifetime": {s.Bounds.LifetimeTime(), 60500 * time.Millisecond},
+		"beat":     {s.Bounds.BeatTime(), 1200250 * time.Microsecond},
+		"evacuate": {s.Bounds.EvacuateTime(), 4999500 * time.Microsecond},
+	} {
+		if c.got != c.want {
+			t.Errorf("%s: %s, want %s", name, c.got, c.want)
+		}
+	}
+	if s.MemoryMB != 284.5 || s.LinkBytes() != 7812500 || s.Cold.Over != 1.5 || s.Cold.Slack != 4.5 || s.Hedge.Share != 0.03 {
+		t.Errorf("%+v", s)
+	}
+}
+
+// TestUnusableFigures guards against figures that pass as times and overflow, or are none.
+func TestUnusableFigures(t *testing.T) {
+	for _, key := range []string{"config", "drain", "grace", "lifetime", "beat", "evacuate", "memory"} {
+		for _, value := range []string{"nan", "inf", "-inf", "1e300", "-0.5", "1e-9"} {
+			text := regexp.MustCompile(`(?m)^`+key+` = .*$`).ReplaceAllString(valid+"beat = 1200\nevacuate = 5000\n", key+" = "+value)
+			_, err := agatesetup.Parse("x", []byte(text))
+			var faults *agatesetup.FaultsError
+			if !errors.As(err, &faults) || len(faults.Faults) != 1 || !strings.Contains(faults.Faults[0], key) {
+				t.Errorf("%s = %s: %v", key, value, err)
+			}
+		}
+	}
+}
+
 // TestSyntaxErrorRow checks that an error of the decoder gives the line.
 func TestSyntaxErrorRow(t *testing.T) {
 	for text, row := range map[string]int{"name = ": 1, "name = \"a\"\nmemory = \"much\"": 2, "packets = \"nowhere\"": 1} {
--- a/entry/process/agatedirect/direct.go
+++ b/entry/process/agatedirect/direct.go
@@ -139,7 +139,7 @@
 // serve runs the goroutines of the process until one of them fails, the context
 // ends or a stop signal arrives.
 func (d *Direct) serve(ctx context.Context) error {
-	collector, cleanupCollector := agatecollector.New(d.setup.MemoryMB)
+	collector, cleanupCollector := agatecollector.New(int(d.setup.MemoryMB))
 	defer cleanupCollector()
 	d.collector = collector
 	signals := make(chan os.Signal, 1)
@@ -190,7 +190,7 @@
 // steerPolicy derives the steerer's policy from the settings.
 func (d *Direct) steerPolicy() agatesteer.Policy {
 	p := agatesteer.DefaultPolicy()
-	p.Flows = d.setup.MemoryMB * flowsPerMB
+	p.Flows = int(d.setup.MemoryMB * flowsPerMB)
 	// Two thirds of the bound leave one third for the transit of the answer.
 	p.MaxCatalogAge = d.setup.Bounds.ConfigTime() * 2 / 3
 	p.WarmUp.Entry = d.setup.Name
