Registrations: an id of 0 names no server

Cause: the id was the only field of a registration that was not checked. A packet's prefix is the id of the server that its flow was placed on, and a prefix of 0 addresses any server.

Both ways in, the store and other entries' pages, check it, so that no record with the id is held, sent on or addressed. The ids of the product's own interface were checked already (TestRefused in agateticket).

--- a/core/process/agatenotice/notice_test.go
+++ b/core/process/agatenotice/notice_test.go
@@ -67,6 +67,7 @@
 		"peer":       invalid(func(n *agatenotice.Notice) { n.Page, n.Part, n.Heartbeat.Peers[0] = nil, nil, netip.AddrPort{} }),
 		"index":      invalid(func(n *agatenotice.Notice) { n.Heartbeat, n.Part, n.Page.Index = nil, nil, 3 }),
 		"page order": invalid(func(n *agatenotice.Notice) { n.Heartbeat, n.Part, n.Page.To = nil, nil, 0 }),
+		"server id":  invalid(func(n *agatenotice.Notice) { n.Heartbeat, n.Part, n.Page.Instances[0].ID = nil, nil, 0 }),
 		"instance":   invalid(func(n *agatenotice.Notice) { n.Heartbeat, n.Part, n.Page.Instances[0].Slots = nil, nil, 0 }),
 		"evacuation": invalid(func(n *agatenotice.Notice) { n.Heartbeat, n.Part, n.Page.Evacuations[0].Centre = nil, nil, "b/c" }),
 		"many evacuations": invalid(func(n *agatenotice.Notice) {
--- a/core/version/agateinstance/instance.go
+++ b/core/version/agateinstance/instance.go
@@ -65,7 +65,7 @@
 // another key. An incarnation never changes its address, so a registration under its id
 // with another one is not its own.
 type Key struct {
-	// ID is the server's id.
+	// ID is the server's id; not 0, which a packet's prefix uses for any server.
 	ID uint64 `cbor:"1,keyasint"`
 	// StartTime is the start time in Unix milliseconds, 0 to maxStartTime.
 	StartTime int64 `cbor:"2,keyasint"`
@@ -127,6 +127,8 @@
 // Check returns a *FieldError if a field is not valid.
 func (i Instance) Check() error {
 	switch {
+	case i.ID == 0:
+		return &FieldError{ID: i.ID, Field: "id"}
 	case i.Service == "" || len(i.Service) > maxNameLength:
 		return &FieldError{ID: i.ID, Field: "service"}
 	case i.StartTime < 0 || i.StartTime > maxStartTime:
--- a/core/version/agateinstance/instance_test.go
+++ b/core/version/agateinstance/instance_test.go
@@ -28,6 +28,7 @@
 		field      string
 		invalidate func(*agateinstance.Instance)
 	}{
+		{"id", func(i *agateinstance.Instance) { i.ID = 0 }},
 		{"service", func(i *agateinstance.Instance) { i.Service = "" }},
 		{"service", func(i *agateinstance.Instance) { i.Service = strings.Repeat("s", 1<<10+1) }},
 		{"centre", func(i *agateinstance.Instance) { i.Centre = strings.Repeat("c", 1<<10+1) }},
