Entries that leave follow changes until they end

Drains, removals, new servers and evacuations were missed alike.

Cause: the others forgot an entry as it announced its end, and one that is leaving had no duty to read the store, so that nothing changed its catalog. Evidence: the entry logs no "config: in force" and no duty to read between its stop signal and its end, while two others have the version within 2 ms. Seeds of others were asked anew each second, so that the case broke in some layouts only.

Change: an entry that leaves stays a peer and comes last in the order of readers; if all of a data centre leave, three of them read, since each may end without further notice. Why it works: it is told like any other, and if it is not, nobody precedes it after a second and it reads. The settings are read again during a stop too. Ruled out: each stopping entry reads by itself, a listing at each stop.

--- a/core/process/agatedump/dump.go
+++ b/core/process/agatedump/dump.go
@@ -84,8 +84,10 @@
 	Address netip.AddrPort `json:"address"`
 	// SinceHeartbeat is the time since the last heartbeat; negative if there was none.
 	SinceHeartbeat time.Duration `json:"heard"`
-	// StoreFailing is whether its reads of the store fail.
+	// StoreFailing is whether its reads of the store fail, and Leaving whether it has
+	// announced its end.
 	StoreFailing bool `json:"failing"`
+	Leaving      bool `json:"leaving"`
 }
 
 // Since returns the time from at to now, or -1 if at is 0, which means never.
--- a/core/process/agatesync/beat.go
+++ b/core/process/agatesync/beat.go
@@ -159,15 +159,15 @@
 	return agateload.EncodeAge(s.now - s.confirmedAt)
 }
 
-// liveAddresses returns the addresses of up to limit live peers for which fits
-// reports true, starting at a random position.
+// liveAddresses returns the addresses of up to limit live peers that are not leaving
+// and for which fits reports true, starting at a random position.
 func (s *Sync) liveAddresses(limit int, fits func(*peer) bool) []netip.AddrPort {
 	peers := s.sortedPeers()
 	first := int(s.random() * float64(len(peers)))
 	addresses := make([]netip.AddrPort, 0, limit)
 	for i := range peers {
 		p := peers[(first+i)%len(peers)]
-		if len(addresses) < limit && p.live() && fits(p) {
+		if len(addresses) < limit && p.live() && !p.leaving && fits(p) {
 			addresses = append(addresses, p.address)
 		}
 	}
--- a/core/process/agatesync/dump.go
+++ b/core/process/agatesync/dump.go
@@ -23,7 +23,7 @@
 	for _, p := range s.sortedPeers() {
 		d.Peers = append(d.Peers, agatedump.Peer{
 			Name: p.name, Centre: p.centre, Address: p.address,
-			SinceHeartbeat: agatedump.Since(p.lastHeard, now), StoreFailing: p.storeFailing,
+			SinceHeartbeat: agatedump.Since(p.lastHeard, now), StoreFailing: p.storeFailing, Leaving: p.leaving,
 		})
 	}
 	return d
--- a/core/process/agatesync/peer.go
+++ b/core/process/agatesync/peer.go
@@ -41,8 +41,9 @@
 	lastAttempt time.Duration
 	// heartbeat is its last heartbeat, without loads and peers.
 	heartbeat agatenotice.Heartbeat
-	// storeFailing is whether it reports that it cannot read the store.
-	storeFailing bool
+	// storeFailing is whether it reports that it cannot read the store, and leaving
+	// whether it has announced its end.
+	storeFailing, leaving bool
 	// hash determines its place in the order of readers of its data centre.
 	hash uint64
 	// mismatchSince is since when it has had different registrations at the same
@@ -67,22 +68,35 @@
 }
 
 // countRank computes the rank from the live peers. Up to MaxFailingReaders of those
-// that cannot read the store are skipped.
+// that cannot read the store are skipped. Entries that are leaving come after all that
+// stay. If none stays, the first LeavingReaders of them have rank 0: each may end
+// without further notice.
 func (s *Sync) countRank(now time.Duration) int {
 	own := xxhash.Sum64String(s.self.Name)
 	timeout := s.readerTimeout()
-	rank, failing := 0, 0
+	staying, leaving, failing := 0, 0, 0
 	for _, p := range s.sortedPeers() {
-		if !p.live() || p.centre != s.self.Centre || p.hash <= own || now-p.lastHeard > timeout {
+		precedes := p.hash > own
+		if p.leaving != s.leaving {
+			precedes = s.leaving
+		}
+		if !p.live() || p.centre != s.self.Centre || !precedes || now-p.lastHeard > timeout {
 			continue
 		}
 		if p.storeFailing && failing < s.policy.MaxFailingReaders {
 			failing++
 			continue
 		}
-		rank++
+		if p.leaving {
+			leaving++
+		} else {
+			staying++
+		}
+	}
+	if staying == 0 {
+		leaving = max(0, leaving-(s.policy.LeavingReaders-1))
 	}
-	return rank
+	return staying + leaving
 }
 
 // readerTimeout returns how long an entry of the data centre may be silent before
@@ -118,9 +132,10 @@
 }
 
 // keepalive returns the heartbeats that the first reader of a large data centre
-// sends in addition to the rounds, so that it is replaced soon after it has ended.
+// sends in addition to the rounds, so that it is replaced soon after it has ended. One
+// that is leaving has been replaced already.
 func (s *Sync) keepalive(now time.Duration) []OutgoingNotice {
-	if s.localCount <= s.policy.PeersPerRound || now-s.lastKeepalive < s.keepaliveInterval() || s.ReadDuty(now) != FirstReader {
+	if s.leaving || s.localCount <= s.policy.PeersPerRound || now-s.lastKeepalive < s.keepaliveInterval() || s.ReadDuty(now) != FirstReader {
 		return nil
 	}
 	s.lastKeepalive = now
@@ -193,7 +208,8 @@
 const expireInterval = 250 * time.Millisecond
 
 // expire removes peers without a recent heartbeat. Peers of other data centres are
-// kept longer, since they send heartbeats to only a few entries.
+// kept longer, since they send heartbeats to only a few entries, unless they have
+// announced their end.
 func (s *Sync) expire(now time.Duration) {
 	if now-s.lastExpiry < expireInterval {
 		return
@@ -202,7 +218,7 @@
 	localLimit := max(s.policy.PeerExpiry, 4*s.cycleTime())
 	for address, p := range s.peers {
 		limit := localLimit
-		if p.live() && p.centre != s.self.Centre {
+		if p.live() && p.centre != s.self.Centre && !p.leaving {
 			limit = s.policy.RemotePeerExpiry
 		}
 		if now-max(p.lastHeard, p.lastAttempt) > limit {
@@ -216,19 +232,16 @@
 	if b.Name == s.self.Name {
 		return nil
 	}
-	if b.Leaving {
-		s.forget(from)
-		return nil
-	}
 	p := s.ensurePeer(from)
 	if p == nil {
 		return nil
 	}
 	first := !p.live()
-	if first || p.storeFailing != b.Failing {
+	if first || p.storeFailing != b.Failing || p.leaving != b.Leaving {
 		s.rankedAt = 0
 	}
-	p.name, p.centre, p.boot, p.lastHeard, p.storeFailing, p.heartbeat = b.Name, b.Centre, b.Boot, now, b.Failing, *b
+	p.name, p.centre, p.boot, p.lastHeard, p.heartbeat = b.Name, b.Centre, b.Boot, now, *b
+	p.storeFailing, p.leaving = b.Failing, b.Leaving
 	p.heartbeat.Loads, p.heartbeat.Peers, p.heartbeat.RemotePeers = nil, nil, nil
 	p.hash = xxhash.Sum64String(b.Name)
 	sends := s.contact(b.Peers, s.self.Centre, now)
--- a/core/process/agatesync/policy.go
+++ b/core/process/agatesync/policy.go
@@ -37,6 +37,9 @@
 	// and be skipped in the order of readers. If more fail, the entries after them
 	// leave the reads to those that already try.
 	MaxFailingReaders int
+	// LeavingReaders is the number of entries that read the store if all entries of the
+	// data centre are leaving.
+	LeavingReaders int
 	// PeerExpiry is how long an entry of the same data centre is kept as a peer
 	// without a heartbeat, and RemotePeerExpiry the same for other data centres.
 	PeerExpiry, RemotePeerExpiry time.Duration
@@ -91,6 +94,7 @@
 		AnnounceFanout:    6,
 		KeepaliveFanout:   128,
 		MaxFailingReaders: 3,
+		LeavingReaders:    3,
 		PeerExpiry:        3 * time.Second,
 		RemotePeerExpiry:  time.Minute,
 		SeedInterval:      time.Second,
--- a/core/process/agatesync/sync.go
+++ b/core/process/agatesync/sync.go
@@ -160,10 +160,12 @@
 func (s *Sync) SetSeeds(seeds []netip.AddrPort) { s.seeds = seeds }
 
 // Leave announces that the process is about to end, so that another entry reads the
-// store in its place.
+// store in its place. The catalog is kept up to date until then, since packets may
+// still arrive.
 func (s *Sync) Leave(now time.Duration) []OutgoingNotice {
 	s.now = now
 	s.leaving = true
+	s.rankedAt = 0
 	return fanOut(append(s.localPeers(), s.remoteTargets()...), s.partialHeartbeat(nil))
 }
 
@@ -300,8 +302,8 @@
 
 // ReadDuty returns why this entry should read the store, or None. The first entry
 // in the order of readers always reads; the next ones read if the catalog has not
-// been confirmed lately. An entry without a catalog first waits a moment for peers
-// to send it one.
+// been confirmed lately. Entries that are leaving come last. An entry without a
+// catalog first waits a moment for peers to send it one.
 func (s *Sync) ReadDuty(now time.Duration) Duty {
 	if s.firstDue == 0 {
 		s.firstDue = now
@@ -313,10 +315,7 @@
 		return None
 	}
 	rank := s.rank(now)
-	switch {
-	case s.leaving:
-		return None
-	case rank == 0:
+	if rank == 0 {
 		return FirstReader
 	}
 	limit := s.policy.MaxTakeoverDelay
--- a/entry/process/agatedirect/direct.go
+++ b/entry/process/agatedirect/direct.go
@@ -329,25 +329,35 @@
 	}
 }
 
-// handleSignals reloads the settings on SIGHUP and at intervals. On any other
-// signal it stops the process and calls cancel once packets no longer arrive.
+// handleSignals reloads the settings on SIGHUP and at intervals, also while the process
+// stops. The first other signal begins the stop; cancel is called at its end.
 func (d *Direct) handleSignals(ctx context.Context, signals <-chan os.Signal, p components, cancel func()) error {
-	ticker := time.NewTicker(settingsCheckInterval)
-	defer ticker.Stop()
+	settings := time.NewTicker(settingsCheckInterval)
+	defer settings.Stop()
+	var signalled time.Time
+	var stopCheck <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-settings.C:
 			d.reload(p, false)
 		case s := <-signals:
-			if s == syscall.SIGHUP {
+			switch {
+			case s == syscall.SIGHUP:
 				d.reload(p, true)
-				continue
+			case signalled.IsZero():
+				signalled = time.Now()
+				ticker := time.NewTicker(stopCheckInterval)
+				defer ticker.Stop()
+				stopCheck = ticker.C
+				d.beginStop(p)
+			}
+		case <-stopCheck:
+			if d.stopDue(time.Since(signalled), p.forwarder.Idle()) {
+				cancel()
+				return nil
 			}
-			d.stop(ctx, p)
-			cancel()
-			return nil
 		}
 	}
 }
@@ -369,21 +379,16 @@
 	}
 }
 
-// stop reports the process as not ready and returns once the routers send packets
-// to other entries instead or the grace period is about to end.
-func (d *Direct) stop(ctx context.Context, p components) {
+// beginStop reports the process as not ready and announces its end to the other entries.
+func (d *Direct) beginStop(p components) {
 	d.stopping.Store(true)
 	d.readiness.Set(false)
 	d.log.Info("entry: stopping")
 	p.keeper.Leave()
-	signalled := time.Now()
-	deadline := signalled.Add(d.setup.Bounds.GraceTime() - graceMargin)
-	ticker := time.NewTicker(stopCheckInterval)
-	defer ticker.Stop()
-	for time.Now().Before(deadline) && ctx.Err() == nil {
-		if time.Since(signalled) >= routerReactionTime && p.forwarder.Idle() >= quietBeforeStop {
-			return
-		}
-		<-ticker.C
-	}
+}
+
+// stopDue reports whether a stop that began the given time ago is over: the routers send
+// packets to other entries instead, or the grace period is about to end.
+func (d *Direct) stopDue(since, idle time.Duration) bool {
+	return since >= d.setup.Bounds.GraceTime()-graceMargin || since >= routerReactionTime && idle >= quietBeforeStop
 }
--- a/entry/process/agatedirect/direct_test.go
+++ b/entry/process/agatedirect/direct_test.go
@@ -204,6 +204,60 @@
 	waitFor(t, "the entry to stop", func() bool { return strings.Contains(e.log.text(), "entry: stopped") })
 }
 
+// TestStoppingEntriesFollow guards against an entry that forwards by a route which is
+// dropped after the stop signal, while callers keep sending: at one that reads the store, and
+// at one that hears of changes from it.
+func TestStoppingEntriesFollow(t *testing.T) {
+	server := listenUDP(t)
+	source, failingSource := newFakeStore(server), newFakeStore()
+	failingSource.unavailable = true
+	c, other := newFakeCaller(t, vip), newFakeCaller(t, vip)
+	grace := func(s *agatesetup.Setup) { s.Bounds.Grace = 6 }
+	first := startEntry(t, "vm-1", source, c.port(), grace)
+	waitFor(t, "the first entry to be ready", first.ready)
+	second := startEntry(t, "vm-2", failingSource, other.port(), func(s *agatesetup.Setup) {
+		grace(s)
+		s.Links = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.2"), first.setup.Links.Port())
+	})
+	second.reread.Store(second.setup.WithSeeds([]netip.AddrPort{first.setup.Ready}))
+	waitFor(t, "the second entry to listen", func() bool {
+		status, _ := httpGet(second.setup.Ready, "/readyz")
+		return status == http.StatusServiceUnavailable
+	})
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	// The second entry has no catalog yet: it hears of the first one by its new seeds.
+	waitFor(t, "both entries to stop", func() bool {
+		return strings.Contains(first.log.text(), "entry: stopping") && strings.Contains(second.log.text(), "entry: stopping")
+	})
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "the new seeds", func() bool { return strings.Contains(second.log.text(), "settings: seeds taken over") })
+	dropped := config(2)
+	dropped.VIPs[0].Address = netip.AddrPortFrom(vip.Addr(), vip.Port()+1)
+	source.update(func(s *fakeStore) { s.state.Config, s.state.Revision = dropped, 6 })
+	callers := map[*entry]*fakeCaller{first: c, second: other}
+	refused := make(map[*entry]bool)
+	waitFor(t, "the dropped route to be refused by both entries", func() bool {
+		for e, caller := range callers {
+			caller.flow.SourcePort++
+			caller.send(e, agatesegment.Segment{Sequence: 9, Flags: agatesegment.SYN})
+			refused[e] = refused[e] || caller.isReset(20*time.Millisecond)
+		}
+		return refused[first] && refused[second] || strings.Contains(first.log.text()+second.log.text(), "entry: stopped")
+	})
+	for e := range callers {
+		if !refused[e] {
+			t.Errorf("%s has not refused the dropped route", e.setup.Name)
+		}
+	}
+	for _, e := range []*entry{first, second} {
+		waitFor(t, e.setup.Name+" to stop", func() bool { return strings.Contains(e.log.text(), "entry: stopped") })
+	}
+}
+
 // TestStopBeforeFirstCatalog checks that an entry without a catalog exits on a stop
 // signal.
 func TestStopBeforeFirstCatalog(t *testing.T) {
--- a/entry/process/agatedirect/fixture_test.go
+++ b/entry/process/agatedirect/fixture_test.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -173,8 +174,18 @@
 type entry struct {
 	t     *testing.T
 	setup *agatesetup.Setup
-	log   *logBuffer
-	stop  func()
+	// reread holds the settings that the process reads while it runs; nil for setup.
+	reread atomic.Pointer[agatesetup.Setup]
+	log    *logBuffer
+	stop   func()
+}
+
+// loadSettings returns the settings that are in effect.
+func (e *entry) loadSettings() (*agatesetup.Setup, error) {
+	if reread := e.reread.Load(); reread != nil {
+		return reread, nil
+	}
+	return e.setup, nil
 }
 
 // freePort returns a loopback address that nobody listens on.
@@ -214,7 +225,7 @@
 		change(e.setup)
 	}
 	sink := agatelogsink.New(e.log)
-	direct := agatedirect.New(e.setup, func() (*agatesetup.Setup, error) { return e.setup, nil }, testCodec{callerPort: callerPort},
+	direct := agatedirect.New(e.setup, e.loadSettings, testCodec{callerPort: callerPort},
 		source, sink, slog.New(slog.NewTextHandler(sink, nil)))
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
@@ -315,6 +326,21 @@
 	}
 }
 
+// isReset reports whether the caller's present flow is reset within the given time.
+func (c *fakeCaller) isReset(within time.Duration) bool {
+	c.t.Helper()
+	if err := c.conn.SetReadDeadline(time.Now().Add(within)); err != nil {
+		c.t.Fatal(err)
+	}
+	buffer := make([]byte, 2048)
+	n, err := c.conn.Read(buffer)
+	if err != nil {
+		return false
+	}
+	got, err := testCodec{}.Decode(buffer[:n])
+	return err == nil && got.Flags == agatesegment.RST && got.Flow == c.flow
+}
+
 // receive returns the next segment that arrives at a socket, and the prefix of the
 // given size in front of it.
 func receive(t *testing.T, conn *net.UDPConn, prefix int) (agatesegment.Segment, []byte) {
