Soak: entries without an id, and entries that leave are judged

An entry that was asked to stop is judged again once the time of a disturbance is over, until it ends.

--- a/bench/agateplan/plan_test.go
+++ b/bench/agateplan/plan_test.go
@@ -45,7 +45,7 @@
 			}
 		}
 	}
-	const kinds = 31
+	const kinds = 32
 	if len(found) != kinds || overlap == 0 {
 		t.Errorf("%d kinds, %d overlaps", len(found), overlap)
 	}
--- a/bench/agatesoak/serving.go
+++ b/bench/agatesoak/serving.go
@@ -41,6 +41,8 @@
 		s.lapse(step)
 	case agateplan.Claim:
 		s.claim(step)
+	case agateplan.Nameless:
+		s.nameless(step)
 	case agateplan.Slow:
 		defer s.crowd.Slow()()
 		s.sleep(step.For)
@@ -153,6 +155,26 @@
 	s.give(server)
 }
 
+// nameless registers a server's address for another service under an id that names no
+// server.
+func (s *soak) nameless(step agateplan.Step) {
+	registered := s.registered()
+	if len(registered) == 0 {
+		return
+	}
+	nameless := registered[int(step.Place)%len(registered)]
+	nameless.ID = 0
+	for _, other := range registered {
+		if other.Service != nameless.Service {
+			nameless.Service = other.Service
+			break
+		}
+	}
+	s.store.Register(nameless)
+	s.sleep(step.For)
+	s.store.Remove(0)
+}
+
 // lapse takes registrations away of servers that serve on, and brings them back.
 func (s *soak) lapse(step agateplan.Step) {
 	count := 1
--- a/bench/agatesoak/steps.go
+++ b/bench/agatesoak/steps.go
@@ -107,7 +107,7 @@
 		s.restartCold(step)
 	case agateplan.Beyond:
 		s.surge(step)
-	case agateplan.Back, agateplan.Outward, agateplan.Full, agateplan.Linger, agateplan.Lapse, agateplan.Claim, agateplan.Slow, agateplan.Late:
+	case agateplan.Back, agateplan.Outward, agateplan.Full, agateplan.Linger, agateplan.Lapse, agateplan.Claim, agateplan.Nameless, agateplan.Slow, agateplan.Late:
 		s.makeServingStep(step, place)
 	default:
 		s.makeServerStep(step)
@@ -145,22 +145,24 @@
 	}
 }
 
-// terminate asks the entry's process to stop and starts it again.
+// terminate asks the entry's process to stop and starts it again. It is judged by what it
+// does as it stops, once it has had the time of a disturbance.
 func (s *soak) terminate(e *entry) {
 	name := agateground.VM(e.place)
-	asked := s.now()
 	child := e.leave()
 	if child == nil {
 		return
 	}
+	s.record.Disturbed(name, s.now(), s.now())
 	// A process that is paused stops once it goes on.
 	if !child.Wait(grace + maxPause) {
 		s.record.Broke(agatepromise.Process, s.now(), "%s did not stop within %v", name, grace)
 		child.Kill()
 	}
+	ended := s.now()
 	e.left()
 	s.start(e)
-	s.record.Disturbed(name, asked, s.now()+restart)
+	s.record.Disturbed(name, ended, s.now()+restart)
 }
 
 // maxPause is the longest time for which a step pauses a process.
