--- a/bench/agateplan/plan.go
+++ b/bench/agateplan/plan.go
@@ -75,9 +75,9 @@
 	// another address: that of another server, or Deep one where none is. The server
 	// writes its own again after the step's time.
 	Claim Kind = "claim"
-	// Nameless writes a registration under the id 0, which names no server, with the address
-	// of a backend server of another service, and takes it away after the step's time.
-	Nameless Kind = "nameless"
+	// ZeroID writes a registration under the id 0, which is no server's, with the address of
+	// a backend server of another service, and takes it away after the step's time.
+	ZeroID Kind = "zeroid"
 	// Slow makes a share of the requests take long.
 	Slow Kind = "slow"
 	// Late makes a share of the callers' packets arrive once more, late.
@@ -125,7 +125,7 @@
 	{Evacuate, 0xe7ac, 6 * time.Second, 3500 * time.Millisecond, 9 * time.Second},
 	{Cold, 0xc01d, 6 * time.Second, time.Second, 2500 * time.Millisecond},
 	{Beyond, 0xbe70, 8 * time.Second, 2 * time.Second, 4 * time.Second},
-	{Nameless, 0x1d00, 6 * time.Second, 500 * time.Millisecond, 2 * time.Second},
+	{ZeroID, 0x1d00, 6 * time.Second, 500 * time.Millisecond, 2 * time.Second},
 }
 
 // Step is one fault or change.
--- a/bench/agatesoak/serving.go
+++ b/bench/agatesoak/serving.go
@@ -41,8 +41,8 @@
 		s.lapse(step)
 	case agateplan.Claim:
 		s.claim(step)
-	case agateplan.Nameless:
-		s.nameless(step)
+	case agateplan.ZeroID:
+		s.registerZeroID(step)
 	case agateplan.Slow:
 		defer s.crowd.Slow()()
 		s.sleep(step.For)
@@ -155,22 +155,21 @@
 	s.give(server)
 }
 
-// nameless registers a server's address for another service under an id that names no
-// server.
-func (s *soak) nameless(step agateplan.Step) {
+// registerZeroID registers a server's address for another service under the id 0.
+func (s *soak) registerZeroID(step agateplan.Step) {
 	registered := s.registered()
 	if len(registered) == 0 {
 		return
 	}
-	nameless := registered[int(step.Place)%len(registered)]
-	nameless.ID = 0
+	claimed := registered[int(step.Place)%len(registered)]
+	claimed.ID = 0
 	for _, other := range registered {
-		if other.Service != nameless.Service {
-			nameless.Service = other.Service
+		if other.Service != claimed.Service {
+			claimed.Service = other.Service
 			break
 		}
 	}
-	s.store.Register(nameless)
+	s.store.Register(claimed)
 	s.sleep(step.For)
 	s.store.Remove(0)
 }
--- a/bench/agatesoak/steps.go
+++ b/bench/agatesoak/steps.go
@@ -107,7 +107,7 @@
 		s.restartCold(step)
 	case agateplan.Beyond:
 		s.surge(step)
-	case agateplan.Back, agateplan.Outward, agateplan.Full, agateplan.Linger, agateplan.Lapse, agateplan.Claim, agateplan.Nameless, agateplan.Slow, agateplan.Late:
+	case agateplan.Back, agateplan.Outward, agateplan.Full, agateplan.Linger, agateplan.Lapse, agateplan.Claim, agateplan.ZeroID, agateplan.Slow, agateplan.Late:
 		s.makeServingStep(step, place)
 	default:
 		s.makeServerStep(step)
@@ -145,8 +145,8 @@
 	}
 }
 
-// terminate asks the entry's process to stop and starts it again. It is judged by what it
-// does as it stops, once it has had the time of a disturbance.
+// terminate asks the entry's process to stop and starts it again. Only the signal and the
+// start disturb the entry: what it forwards in between is judged.
 func (s *soak) terminate(e *entry) {
 	name := agateground.VM(e.place)
 	child := e.leave()
