Entries that leave: one rule for their rank, tests for what none reached

Two rules are gone: the condition on who stays changed no rank that decides, and keepalives by three readers of a data centre that leaves as a whole are bounded by it. The others have a test that fails without them: ranks computed before an entry leaves (TestLeaveTakesEffectAtOnce, also the dump), introductions (TestLeavingEntryIsNotIntroduced), the end of the grace period and a second stop signal (TestStopWithinGrace, with a grace that is a fraction).

--- a/core/process/agatesync/leave_test.go
+++ b/core/process/agatesync/leave_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"agatereach/core/process/agatenotice"
 	"agatereach/core/process/agatesync"
 	"agatereach/core/version/agateinstance"
 )
@@ -133,6 +134,62 @@
 	}
 }
 
+// TestLeaveTakesEffectAtOnce guards against an entry that counts as a reader for a while
+// after it has announced its end, by a rank computed before.
+func TestLeaveTakesEffectAtOnce(t *testing.T) {
+	for i := range 6 {
+		f := newFleet(t, 1, 2, 3)
+		f.store.configure(1, 5)
+		f.run(3*time.Second + time.Duration(i)*step)
+		reader := f.readerOf("a")
+		other := f.entries[0]
+		if other == reader {
+			other = f.entries[1]
+		}
+		if duty := other.sync.ReadDuty(f.now); duty != agatesync.None {
+			t.Fatalf("%s reads as %q beside the reader", other.address, duty)
+		}
+		sends := reader.sync.Leave(f.now)
+		if duty := reader.sync.ReadDuty(f.now); duty != agatesync.None {
+			t.Errorf("the leaving entry reads as %q", duty)
+		}
+		for _, send := range sends {
+			other.sync.Receive(reader.address, send.Notice, f.now)
+		}
+		if duty := other.sync.ReadDuty(f.now); duty != agatesync.FirstReader {
+			t.Errorf("%s reads as %q once the reader leaves", other.address, duty)
+		}
+		if peers := other.sync.Dump(f.now).Peers; len(peers) != 1 || !peers[0].Leaving {
+			t.Errorf("dump: %+v", peers)
+		}
+	}
+}
+
+// TestLeavingEntryIsNotIntroduced guards against entries that start and are pointed to one
+// that is about to end.
+func TestLeavingEntryIsNotIntroduced(t *testing.T) {
+	f := newFleet(t, 1, 4, 3)
+	f.store.configure(1, 5)
+	f.run(3 * time.Second)
+	leaving, other := f.entries[1], f.entries[2]
+	f.leave(leaving)
+	f.run(200 * time.Millisecond)
+	newcomer := agatenotice.Heartbeat{Name: "vm-9", Centre: "a", Boot: 10, WantReply: true}
+	named := 0
+	for _, send := range other.sync.Receive(address(9), agatenotice.Notice{Heartbeat: &newcomer}, f.now) {
+		if send.Notice.Heartbeat == nil {
+			continue
+		}
+		named += len(send.Notice.Heartbeat.Peers)
+		if slices.Contains(send.Notice.Heartbeat.Peers, leaving.address) {
+			t.Errorf("%s is named, which is leaving", leaving.address)
+		}
+	}
+	if named == 0 {
+		t.Error("no entry is named")
+	}
+}
+
 // TestRestartedEntryCounts guards against an entry that is passed over as a reader since a
 // late heartbeat of the process before it said that it was leaving.
 func TestRestartedEntryCounts(t *testing.T) {
@@ -181,7 +238,7 @@
 		}
 		f.changeAll()
 		if !lost {
-			// A removal may be missed as a reader is lost: review/4 in KNOWN-RED.txt.
+			// See TestRemovalAfterReaderIsLost, in KNOWN-RED.txt.
 			f.store.remove(2)
 		}
 		f.run(bound)
--- a/core/process/agatesync/peer.go
+++ b/core/process/agatesync/peer.go
@@ -68,9 +68,9 @@
 }
 
 // countRank computes the rank from the live peers. Up to MaxFailingReaders of those
-// that cannot read the store are skipped. Entries that are leaving come after all that
-// stay. If none stays, the first LeavingReaders of them have rank 0: each may end
-// without further notice.
+// that cannot read the store are skipped. Entries that are leaving rank after all that
+// stay, and the first LeavingReaders of them equally: each may end without further
+// notice.
 func (s *Sync) countRank(now time.Duration) int {
 	own := xxhash.Sum64String(s.self.Name)
 	timeout := s.readerTimeout()
@@ -93,10 +93,7 @@
 			staying++
 		}
 	}
-	if staying == 0 {
-		leaving = max(0, leaving-(s.policy.LeavingReaders-1))
-	}
-	return staying + leaving
+	return staying + max(0, leaving-(s.policy.LeavingReaders-1))
 }
 
 // readerTimeout returns how long an entry of the data centre may be silent before
@@ -132,10 +129,9 @@
 }
 
 // keepalive returns the heartbeats that the first reader of a large data centre
-// sends in addition to the rounds, so that it is replaced soon after it has ended. One
-// that is leaving has been replaced already.
+// sends in addition to the rounds, so that it is replaced soon after it has ended.
 func (s *Sync) keepalive(now time.Duration) []OutgoingNotice {
-	if s.leaving || s.localCount <= s.policy.PeersPerRound || now-s.lastKeepalive < s.keepaliveInterval() || s.ReadDuty(now) != FirstReader {
+	if s.localCount <= s.policy.PeersPerRound || now-s.lastKeepalive < s.keepaliveInterval() || s.ReadDuty(now) != FirstReader {
 		return nil
 	}
 	s.lastKeepalive = now
--- a/core/process/agatesync/sync.go
+++ b/core/process/agatesync/sync.go
@@ -302,8 +302,8 @@
 
 // ReadDuty returns why this entry should read the store, or None. The first entry
 // in the order of readers always reads; the next ones read if the catalog has not
-// been confirmed lately. Entries that are leaving come last. An entry without a
-// catalog first waits a moment for peers to send it one.
+// been confirmed lately. Entries that are leaving rank after all that stay. An entry
+// without a catalog first waits a moment for peers to send it one.
 func (s *Sync) ReadDuty(now time.Duration) Duty {
 	if s.firstDue == 0 {
 		s.firstDue = now
--- a/entry/process/agatedirect/direct_test.go
+++ b/entry/process/agatedirect/direct_test.go
@@ -258,6 +258,34 @@
 	}
 }
 
+// TestStopWithinGrace guards against a process that is killed since callers keep sending, or
+// since the stop signal comes again. Its grace period is a fraction of seconds.
+func TestStopWithinGrace(t *testing.T) {
+	server := listenUDP(t)
+	c := newFakeCaller(t, vip)
+	const grace = 3500 * time.Millisecond
+	e := startEntry(t, "vm-1", newFakeStore(server), c.port(), func(s *agatesetup.Setup) { s.Bounds.Grace = grace.Seconds() })
+	waitFor(t, "the entry to be ready", e.ready)
+	begun := time.Now()
+	for signals := 0; !strings.Contains(e.log.text(), "entry: stopped"); time.Sleep(20 * time.Millisecond) {
+		since := time.Since(begun)
+		if since > grace {
+			t.Fatalf("the entry runs %s after the signal", since)
+		}
+		if since >= time.Duration(signals)*grace/8 {
+			signals++
+			if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+				t.Fatal(err)
+			}
+		}
+		c.flow.SourcePort++
+		c.send(e, agatesegment.Segment{Sequence: 9, Flags: agatesegment.SYN})
+	}
+	if since := time.Since(begun); since < grace/2 {
+		t.Errorf("the entry has stopped after %s, though packets came", since)
+	}
+}
+
 // TestStopBeforeFirstCatalog checks that an entry without a catalog exits on a stop
 // signal.
 func TestStopBeforeFirstCatalog(t *testing.T) {
