--- a/core/process/agatesetup/setup_test.go
+++ b/core/process/agatesetup/setup_test.go
@@ -124,7 +124,7 @@
 
 // TestSyntaxErrorRow checks that an error of the decoder gives the line.
 func TestSyntaxErrorRow(t *testing.T) {
-	for text, row := range map[string]int{"name = ": 1, "name = \"a\"\nmemory = \"much\"": 2, "packets = \"nowhere\"": 1} {
+	for text, row := range map[string]int{"name = ": 1, "name = \"a\"\nmemory = \"much\"": 2, "packets = \"nowhere\"": 1, "[bounds]\ngrace = true": 2} {
 		_, err := agatesetup.Parse("x", []byte(text))
 		var syntax *agatesetup.SyntaxError
 		if !errors.As(err, &syntax) || syntax.Row != row {
