--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"runtime"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -28,7 +29,8 @@
 var cases = map[string]func(w *world, trouble bool) (int, error){
 	"large-foreign-entries": largeForeignEntries,
 	"earlier-born":          earlierBorn,
-	"reader-killed":         readerKilled,
+	"readers-killed":        readersKilled,
+	"spelled-otherwise":     spelledOtherwise,
 }
 
 func main() {
@@ -154,8 +156,13 @@
 // judgeDrain counts the requests that were sent later than drain_ms after the store confirmed
 // that a server drains, and that the server ran.
 func (w *world) judgeDrain(s *server, confirmed time.Time) int {
+	return w.judgeDrainThrough(s, confirmed, func(*attempt) bool { return true })
+}
+
+// judgeDrainThrough is judgeDrain for the requests that counts names.
+func (w *world) judgeDrainThrough(s *server, confirmed time.Time, counts func(*attempt) bool) int {
 	w.mutex.Lock()
-	late := w.late(confirmed.Add(drainTime), s.id)
+	late := slices.DeleteFunc(w.late(confirmed.Add(drainTime), s.id), func(a *attempt) bool { return !counts(a) })
 	w.mutex.Unlock()
 	lost := 0
 	entries := make(map[string]int)
