--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/signal"
 	"runtime"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -27,10 +26,7 @@
 // cases are the cases by name. Each returns how often the rule was broken. trouble is whether
 // the disruption is made.
 var cases = map[string]func(w *world, trouble bool) (int, error){
-	"large-foreign-entries": largeForeignEntries,
-	"earlier-born":          earlierBorn,
-	"readers-killed":        readersKilled,
-	"spelled-otherwise":     spelledOtherwise,
+	"store-moved": storeMoved,
 }
 
 func main() {
@@ -156,13 +152,8 @@
 // judgeDrain counts the requests that were sent later than drain_ms after the store confirmed
 // that a server drains, and that the server ran.
 func (w *world) judgeDrain(s *server, confirmed time.Time) int {
-	return w.judgeDrainThrough(s, confirmed, func(*attempt) bool { return true })
-}
-
-// judgeDrainThrough is judgeDrain for the requests that counts names.
-func (w *world) judgeDrainThrough(s *server, confirmed time.Time, counts func(*attempt) bool) int {
 	w.mutex.Lock()
-	late := slices.DeleteFunc(w.late(confirmed.Add(drainTime), s.id), func(a *attempt) bool { return !counts(a) })
+	late := w.late(confirmed.Add(drainTime), s.id)
 	w.mutex.Unlock()
 	lost := 0
 	entries := make(map[string]int)
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -39,16 +39,10 @@
 	// dropped is the revision up to which the history is gone.
 	dropped int64
 	changed chan struct{}
-	// reads counts the calls of each machine, by the address at which it reaches the store.
-	watching map[string]int
-	lastRead map[string]time.Time
 }
 
 func newStore(history time.Duration) *store {
-	return &store{
-		history: history, rev: 100, items: make(map[string]item), changed: make(chan struct{}),
-		watching: make(map[string]int), lastRead: make(map[string]time.Time),
-	}
+	return &store{history: history, rev: 100, items: make(map[string]item), changed: make(chan struct{})}
 }
 
 // put writes a value and returns the time of the confirmation.
@@ -95,52 +89,19 @@
 	}
 }
 
-// serve answers at an address until the program ends. name is the machine that uses it.
-func (s *store) serve(address netip.AddrPort, name string) error {
+// serve answers at an address until the returned function is called.
+func (s *store) serve(address netip.AddrPort) (func(), error) {
 	listener, err := net.Listen("tcp4", address.String())
 	if err != nil {
-		return err
+		return nil, err
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-key", s.key)
-	mux.HandleFunc("GET /kv-range", func(w http.ResponseWriter, r *http.Request) {
-		s.noteRead(name)
-		s.list(w, r)
-	})
-	mux.HandleFunc("GET /kv-watch", func(w http.ResponseWriter, r *http.Request) {
-		s.noteRead(name)
-		s.countWatch(name, 1)
-		defer s.countWatch(name, -1)
-		s.watch(w, r)
-	})
-	go func() { _ = http.Serve(listener, mux) }()
-	return nil
-}
-
-func (s *store) noteRead(name string) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.lastRead[name] = time.Now()
-}
-
-func (s *store) countWatch(name string, change int) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.watching[name] += change
-}
-
-// readers returns the machines of which a watch waits now.
-func (s *store) readers() []string {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	var names []string
-	for name, watches := range s.watching {
-		if watches > 0 {
-			names = append(names, name)
-		}
-	}
-	sort.Strings(names)
-	return names
+	mux.HandleFunc("GET /kv-range", s.list)
+	mux.HandleFunc("GET /kv-watch", s.watch)
+	server := &http.Server{Handler: mux}
+	go func() { _ = server.Serve(listener) }()
+	return func() { _ = server.Close() }, nil
 }
 
 // body converts an item to its form on the wire.
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -26,7 +26,6 @@
 	historyTime = 20 * time.Second
 	beatTime    = 1200 * time.Millisecond
 	graceTime   = 6 * time.Second
-	valueBytes  = 1 << 20
 	flowTTL     = 60 * time.Second
 	idleTimeout = 15 * time.Second
 	memoryMB    = 284
@@ -40,7 +39,7 @@
 	base       byte
 	began      time.Time
 	store      *store
-	port       struct{ data, ready, control, links, server, store uint16 }
+	port       struct{ data, ready, control, links, server, store, moved uint16 }
 	entries    []*entry
 	zones      []string
 
@@ -96,7 +95,7 @@
 		root: root, temp: temp, base: byte(20 + rand.IntN(200)), began: time.Now(), store: newStore(historyTime), log: log, zones: zones,
 		nextPort: 20000, version: 1,
 	}
-	for _, port := range []*uint16{&w.port.data, &w.port.ready, &w.port.control, &w.port.links, &w.port.server, &w.port.store} {
+	for _, port := range []*uint16{&w.port.data, &w.port.ready, &w.port.control, &w.port.links, &w.port.server, &w.port.store, &w.port.moved} {
 		if *port, err = w.freePort(); err != nil {
 			return nil, err
 		}
@@ -144,6 +143,8 @@
 	name, zone string
 	ip         netip.Addr
 	settings   string
+	storePort  uint16
+	leaveStore func()
 	process    *exec.Cmd
 	mutex      sync.Mutex
 	misses     int
@@ -156,8 +157,25 @@
 	e := &entry{w: w, zone: w.zones[zone], name: fmt.Sprintf("front-%s-%d", w.zones[zone], number), ip: w.at(byte(10+zone), byte(number))}
 	w.entries = append(w.entries, e)
 	e.settings = filepath.Join(w.temp, e.name+".toml")
-	storeAddress := netip.AddrPortFrom(w.at(byte(2+zone), byte(number)), w.port.store)
-	return e, w.store.serve(storeAddress, e.name)
+	return e, e.reachStore(w.port.store)
+}
+
+// reachStore has the store answer the entry at a port, and no longer at the one before.
+func (e *entry) reachStore(port uint16) error {
+	if e.leaveStore != nil {
+		e.leaveStore()
+	}
+	e.storePort = port
+	var err error
+	e.leaveStore, err = e.w.store.serve(e.storeAddress())
+	return err
+}
+
+// storeAddress is the address at which the entry reaches the store. Each entry has one of its
+// own, as through a forwarder on its machine.
+func (e *entry) storeAddress() netip.AddrPort {
+	ip := e.ip.As4()
+	return netip.AddrPortFrom(e.w.at(ip[2]-8, ip[3]), e.storePort)
 }
 
 // address returns an address of the entry.
@@ -181,11 +199,10 @@
 			seeds = append(seeds, each.address(w.port.control).String())
 		}
 	}
-	zone := int(e.ip.As4()[2])
 	values := map[string]any{
 		"node": e.name, "zone": e.zone, "ip": e.ip.String(), "listen.data_addr": e.address(w.port.data).String(),
 		"listen.ready": e.address(w.port.ready).String(), "port_range.0": w.port.links, "seeds": seeds,
-		"platform.addr": netip.AddrPortFrom(w.at(byte(zone-8), e.ip.As4()[3]), w.port.store).String(),
+		"platform.addr": e.storeAddress().String(),
 		"limits.ram_mb": memoryMB, "limits.link_mbps": linkMbps, "beat_ms": beatTime.Milliseconds(),
 		"bounds.config_ms": configTime.Milliseconds(), "bounds.drain_ms": drainTime.Milliseconds(),
 		"bounds.grace_s": int(graceTime.Seconds()), "bounds.flow_ttl_s": int(flowTTL.Seconds()),
@@ -214,7 +231,10 @@
 	if missing != nil {
 		return missing
 	}
-	return os.WriteFile(e.settings, []byte(text), 0o600)
+	if err := os.WriteFile(e.settings+".next", []byte(text), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(e.settings+".next", e.settings)
 }
 
 var runLine = regexp.MustCompile(`(?m)^run = "(.*)"$`)
