--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -56,6 +56,93 @@
 // settleTime is the time between a change of the settings and the next changes in the store.
 const settleTime = 15 * time.Second
 
+// restartDelay is the time after which the platform starts a process again that has ended.
+const restartDelay = time.Second
+
+// longLifetime: flow_ttl_s changes in the settings of half of the machines, which get SIGHUP. Then
+// all machines are stopped and started in turn.
+func longLifetime(w *world, trouble bool) (int, error) {
+	kept := w.newRoute("kept", 1)
+	clients, err := w.fleet([]route{kept})
+	if err != nil {
+		return 0, err
+	}
+	stop, group := make(chan struct{}), &sync.WaitGroup{}
+	w.load(clients, kept, 300*time.Millisecond, stop, group)
+	for i, e := range w.entries {
+		if i%2 > 0 {
+			continue
+		}
+		if trouble {
+			e.lifetime = 2 * time.Hour
+		}
+		if err := e.writeSettings(); err != nil {
+			return 0, err
+		}
+		w.note("flow_ttl_s of %s is %.0f, it gets SIGHUP", e.name, e.lifetime.Seconds())
+		e.signal(syscall.SIGHUP)
+	}
+	time.Sleep(touchTime + time.Second)
+	if !w.running() {
+		return 0, fmt.Errorf("an entry has ended")
+	}
+	ends := make([]int, len(w.entries))
+	var watchers sync.WaitGroup
+	watching := make(chan struct{})
+	for i, e := range w.entries {
+		w.note("entry %s gets SIGTERM", e.name)
+		e.signal(syscall.SIGTERM)
+		for begun := time.Now(); !e.ended(); time.Sleep(10 * time.Millisecond) {
+			if time.Since(begun) > graceTime {
+				e.kill()
+			}
+		}
+		time.Sleep(restartDelay)
+		if err := e.start(); err != nil {
+			return 0, err
+		}
+		watchers.Go(func() { ends[i] = e.keepRunning(watching) })
+		time.Sleep(2 * time.Second)
+	}
+	time.Sleep(touchTime + 4*restartDelay)
+	close(watching)
+	watchers.Wait()
+	close(stop)
+	group.Wait()
+	machines := 0
+	for i, e := range w.entries {
+		w.report("%s: flow_ttl_s %.0f, its process ended by itself %d times after the start", e.name, e.lifetime.Seconds(), ends[i])
+		if ends[i] >= 3 {
+			machines++
+		}
+	}
+	if machines >= 2 {
+		return machines, nil
+	}
+	return 0, nil
+}
+
+// keepRunning starts the process again whenever it has ended, until stop is closed, and returns
+// how often it has.
+func (e *entry) keepRunning(stop <-chan struct{}) int {
+	ends := 0
+	for {
+		select {
+		case <-stop:
+			return ends
+		case <-time.After(10 * time.Millisecond):
+		}
+		if !e.ended() {
+			continue
+		}
+		ends++
+		time.Sleep(restartDelay)
+		if err := e.start(); err != nil {
+			e.w.note("entry %s: %v", e.name, err)
+		}
+	}
+}
+
 // judgeConfig counts the requests that were sent later than config_ms after the confirmation of
 // a config and handled as only the version before allows.
 func (w *world) judgeConfig(confirmed time.Time, dropped, added route) int {
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -26,7 +26,8 @@
 // cases are the cases by name. Each returns how often the rule was broken. trouble is whether
 // the disruption is made.
 var cases = map[string]func(w *world, trouble bool) (int, error){
-	"store-moved": storeMoved,
+	"long-lifetime": longLifetime,
+	"store-moved":   storeMoved,
 }
 
 func main() {
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -144,6 +144,8 @@
 	ip         netip.Addr
 	settings   string
 	storePort  uint16
+	// lifetime is flow_ttl_s of its settings.
+	lifetime   time.Duration
 	leaveStore func()
 	process    *exec.Cmd
 	mutex      sync.Mutex
@@ -154,7 +156,7 @@
 
 // addEntry adds an entry VM and writes its settings.
 func (w *world) addEntry(zone int, number int) (*entry, error) {
-	e := &entry{w: w, zone: w.zones[zone], name: fmt.Sprintf("front-%s-%d", w.zones[zone], number), ip: w.at(byte(10+zone), byte(number))}
+	e := &entry{w: w, lifetime: flowTTL, zone: w.zones[zone], name: fmt.Sprintf("front-%s-%d", w.zones[zone], number), ip: w.at(byte(10+zone), byte(number))}
 	w.entries = append(w.entries, e)
 	e.settings = filepath.Join(w.temp, e.name+".toml")
 	return e, e.reachStore(w.port.store)
@@ -205,7 +207,7 @@
 		"platform.addr": e.storeAddress().String(),
 		"limits.ram_mb": memoryMB, "limits.link_mbps": linkMbps, "beat_ms": beatTime.Milliseconds(),
 		"bounds.config_ms": configTime.Milliseconds(), "bounds.drain_ms": drainTime.Milliseconds(),
-		"bounds.grace_s": int(graceTime.Seconds()), "bounds.flow_ttl_s": int(flowTTL.Seconds()),
+		"bounds.grace_s": int(graceTime.Seconds()), "bounds.flow_ttl_s": int(e.lifetime.Seconds()),
 	}
 	text := section.ReplaceAllStringFunc(string(template), func(part string) string {
 		match := section.FindStringSubmatch(part)
@@ -290,6 +292,13 @@
 	}
 }
 
+// ended reports whether the process has ended.
+func (e *entry) ended() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.down
+}
+
 // kill ends the process without notice.
 func (e *entry) kill() { e.signal(syscall.SIGKILL) }
 
@@ -389,10 +398,7 @@
 // running reports whether all entries run.
 func (w *world) running() bool {
 	for _, e := range w.entries {
-		e.mutex.Lock()
-		down := e.down
-		e.mutex.Unlock()
-		if down {
+		if e.ended() {
 			return false
 		}
 	}
