--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -56,6 +56,48 @@
 // settleTime is the time between a change of the settings and the next changes in the store.
 const settleTime = 15 * time.Second
 
+// Watches that wait are cut within cutTime. A server loses its path to the store for absences
+// times, each for three intervals until its entry is removed and absenceTime beyond.
+const (
+	cutTime     = 900 * time.Millisecond
+	absences    = 9
+	absenceTime = 5 * time.Second
+)
+
+// watchesCut: the store cuts each watch within a while. A server falls silent towards the store,
+// which removes its entry as the operator changes the config, and later registers again, several
+// times.
+func watchesCut(w *world, trouble bool) (int, error) {
+	kept, other := w.newRoute("kept", 1), w.newRoute("other", 2)
+	clients, err := w.fleet([]route{kept})
+	if err != nil {
+		return 0, err
+	}
+	stop, group := make(chan struct{}), &sync.WaitGroup{}
+	w.load(clients, kept, 60*time.Millisecond, stop, group)
+	if trouble {
+		w.note("from now on the store cuts each watch within %s", cutTime)
+		w.store.cutWatches(cutTime)
+	}
+	silent, late := w.servers[0], 0
+	for i := range absences {
+		time.Sleep(3 * beatTime)
+		routes := []route{kept, other}
+		w.configure(routes[:1+i%2], "booking")
+		removed := w.store.remove(silent.key())
+		w.note("the store removes the entry of server %08x after three intervals of silence", silent.id)
+		time.Sleep(absenceTime)
+		late += w.judgeDrain(silent, removed)
+		silent.register("ready")
+	}
+	close(stop)
+	group.Wait()
+	if !w.running() {
+		return 0, fmt.Errorf("an entry has ended")
+	}
+	return late, nil
+}
+
 // restartDelay is the time after which the platform starts a process again that has ended.
 const restartDelay = time.Second
 
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -27,6 +27,7 @@
 // the disruption is made.
 var cases = map[string]func(w *world, trouble bool) (int, error){
 	"long-lifetime": longLifetime,
+	"watches-cut":   watchesCut,
 	"store-moved":   storeMoved,
 }
 
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -39,12 +40,21 @@
 	// dropped is the revision up to which the history is gone.
 	dropped int64
 	changed chan struct{}
+	// cutWithin is the time within which a watch that waits is cut; 0 for no cuts.
+	cutWithin time.Duration
 }
 
 func newStore(history time.Duration) *store {
 	return &store{history: history, rev: 100, items: make(map[string]item), changed: make(chan struct{})}
 }
 
+// cutWatches has each watch that waits cut at a random time within the given one.
+func (s *store) cutWatches(within time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.cutWithin = within
+}
+
 // put writes a value and returns the time of the confirmation.
 func (s *store) put(key string, value []byte) time.Time {
 	return s.write(item{key: key, value: value})
@@ -161,6 +171,13 @@
 	}
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
+	s.mutex.Lock()
+	within := s.cutWithin
+	s.mutex.Unlock()
+	var cuts <-chan time.Time
+	if within > 0 {
+		cuts = time.After(rand.N(within))
+	}
 	for over := false; ; {
 		s.mutex.Lock()
 		s.trim()
@@ -185,6 +202,8 @@
 		case <-changed:
 		case <-timer.C:
 			over = true
+		case <-cuts:
+			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			return
 		}
